Set down the layers, the core types and thin decisions

Cause: an empty repository; the users ask for four layers and for state in shards, each under its own lock.

--- /dev/null
+++ b/coordination/call/call.go
@@ -0,0 +1,67 @@
+// Package call holds the typed values that describe one call on its way from
+// the entry node to the guard node and back.
+package call
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Field is one header field. Fields keep their order and may repeat.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Head is what a guard has to know of a call before its body.
+type Head struct {
+	ID state.CallID
+	// Ticket is the number of the latest accepted ticket at the entry node.
+	Ticket        state.TicketNumber
+	Route         state.RouteName
+	BackendServer state.BackendServerName
+	Class         state.PriorityClass
+	Caller        state.CallerName
+	// Deadline is the time at which the caller gives up.
+	Deadline    time.Time
+	Fingerprint state.Fingerprint
+	// IdempotencyKey is empty when the caller gave none.
+	IdempotencyKey string
+	// Idempotent says that running the call twice does no harm.
+	Idempotent bool
+	Method     string
+	// Target is the path and query of the request.
+	Target string
+	// Authority is the host that the caller asked for.
+	Authority string
+	Fields    []Field
+	// ContentLength is the length of the body in bytes, or -1 when the body
+	// ends with an end marker.
+	ContentLength int64
+}
+
+// ReplyHead is the answer of a backend server before its body.
+type ReplyHead struct {
+	ID     state.CallID
+	Status int
+	Fields []Field
+	// ContentLength is the length of the body in bytes, or -1 when the body
+	// ends with an end marker.
+	ContentLength int64
+	Load          LoadHint
+}
+
+// LoadHint tells entry nodes how busy a backend server is. It guides a pick
+// and never decides an admission.
+type LoadHint struct {
+	BackendServer state.BackendServerName
+	// Running is the number of slots in use.
+	Running int
+	// Waiting is the number of calls in the queues.
+	Waiting int
+	// Slots is the number of slots that may be used at present.
+	Slots int
+	// Draining says that the backend server takes no new calls.
+	Draining bool
+}
--- /dev/null
+++ b/coordination/routing/routing.go
@@ -0,0 +1,42 @@
+// Package routing finds the route that serves a request.
+package routing
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Match returns the route for a request: the one that names the host before
+// one that matches every host, then the one with the longest path prefix.
+// The host is lower case and without port.
+func Match(snapshot *state.Snapshot, host, path, method string) (state.Route, bool) {
+	if route, ok := matchAmong(snapshot.RoutesForHost(host), path, method); ok {
+		return route, true
+	}
+	return matchAmong(snapshot.RoutesForHost(""), path, method)
+}
+
+func matchAmong(routes []state.Route, path, method string) (state.Route, bool) {
+	for _, route := range routes {
+		if matchesPath(route.Match.PathPrefix, path) && matchesMethod(route.Match.Methods, method) {
+			return route, true
+		}
+	}
+	return state.Route{}, false
+}
+
+func matchesPath(prefix, path string) bool {
+	trimmed := strings.TrimSuffix(prefix, "/")
+	rest, ok := strings.CutPrefix(path, trimmed)
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+func matchesMethod(methods []string, method string) bool {
+	if len(methods) == 0 || slices.Contains(methods, method) {
+		return true
+	}
+	return method == http.MethodHead && slices.Contains(methods, http.MethodGet)
+}
--- /dev/null
+++ b/tools/doc.go
@@ -0,0 +1,3 @@
+// Package tools pins the versions of the programs that check and generate the
+// code. Nothing imports it.
+package tools
