Read and write tickets as JSON

Tickets are published as JSON files. Decode reports every fault with its place and never fails, so that all nodes reject a bad ticket for the same reasons; the walk over the tokens keeps no tree, and size, depth and the number of faults are bounded.

--- /dev/null
+++ b/protocol/ticketfile/encode.go
@@ -0,0 +1,155 @@
+package ticketfile
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// MalformedError is returned for a ticket that was decoded with faults and has
+// no faithful encoding.
+type MalformedError struct {
+	Number state.TicketNumber
+	Faults []state.Fault
+}
+
+// Error names the ticket and its first fault.
+func (e *MalformedError) Error() string {
+	first := e.Faults[0]
+	return fmt.Sprintf("ticket %d is malformed: %s %s", e.Number, first.Path, first.Reason)
+}
+
+// Encode returns the ticket as an indented JSON document that decodes to the
+// same ticket. It fails for tickets that have faults or are over
+// MaxTicketBytes.
+func Encode(ticket state.Ticket) ([]byte, error) {
+	if len(ticket.Malformed) > 0 {
+		return nil, &MalformedError{Number: ticket.Number, Faults: ticket.Malformed}
+	}
+	data, err := json.MarshalIndent(newTicketDocument(ticket), "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode ticket %d: %w", ticket.Number, err)
+	}
+	data = append(data, '\n')
+	decoded := DecodeFile(data)
+	if len(decoded.Malformed) > 0 {
+		return nil, &MalformedError{Number: ticket.Number, Faults: decoded.Malformed}
+	}
+	return data, nil
+}
+
+type ticketDocument struct {
+	Number   state.TicketNumber `json:"number"`
+	Baseline bool               `json:"baseline,omitempty"`
+	Set      resourcesDocument  `json:"set,omitzero"`
+	Remove   removalsDocument   `json:"remove,omitzero"`
+}
+
+type resourcesDocument struct {
+	Services       []serviceDocument       `json:"services,omitempty"`
+	BackendServers []backendServerDocument `json:"backend_servers,omitempty"`
+	Routes         []routeDocument         `json:"routes,omitempty"`
+}
+
+type removalsDocument struct {
+	Routes         []state.RouteName         `json:"routes,omitempty"`
+	Services       []state.ServiceName       `json:"services,omitempty"`
+	BackendServers []state.BackendServerName `json:"backend_servers,omitempty"`
+}
+
+type routeDocument struct {
+	Name          state.RouteName      `json:"name"`
+	Match         matchDocument        `json:"match"`
+	Service       state.ServiceName    `json:"service"`
+	Class         string               `json:"class"`
+	LatencyTarget string               `json:"latency_target"`
+	Timeout       string               `json:"timeout"`
+	Worth         float64              `json:"worth"`
+	Idempotent    bool                 `json:"idempotent"`
+	CallerLimit   *callerLimitDocument `json:"caller_limit,omitempty"`
+}
+
+type matchDocument struct {
+	Host       string   `json:"host,omitempty"`
+	PathPrefix string   `json:"path_prefix"`
+	Methods    []string `json:"methods,omitempty"`
+}
+
+type callerLimitDocument struct {
+	CallsPerSecond float64 `json:"calls_per_second"`
+	Burst          int     `json:"burst"`
+}
+
+type serviceDocument struct {
+	Name            state.ServiceName  `json:"name"`
+	Floors          map[string]float64 `json:"floors"`
+	QueueLimits     map[string]int     `json:"queue_limits"`
+	SlowStart       string             `json:"slow_start"`
+	RecordRetention string             `json:"record_retention"`
+}
+
+type backendServerDocument struct {
+	Name        state.BackendServerName `json:"name"`
+	Service     state.ServiceName       `json:"service"`
+	Host        state.HostName          `json:"host"`
+	Zone        state.AvailabilityZone  `json:"zone"`
+	Address     string                  `json:"address"`
+	Slots       int                     `json:"slots"`
+	Connections int                     `json:"connections"`
+	Draining    bool                    `json:"draining,omitempty"`
+}
+
+func newTicketDocument(ticket state.Ticket) ticketDocument {
+	document := ticketDocument{
+		Number:   ticket.Number,
+		Baseline: ticket.Baseline,
+		Remove:   removalsDocument(ticket.Remove),
+	}
+	for _, service := range ticket.Set.Services {
+		document.Set.Services = append(document.Set.Services, newServiceDocument(service))
+	}
+	for _, server := range ticket.Set.BackendServers {
+		document.Set.BackendServers = append(document.Set.BackendServers, backendServerDocument(server))
+	}
+	for _, route := range ticket.Set.Routes {
+		document.Set.Routes = append(document.Set.Routes, newRouteDocument(route))
+	}
+	return document
+}
+
+func newRouteDocument(route state.Route) routeDocument {
+	document := routeDocument{
+		Name:          route.Name,
+		Match:         matchDocument(route.Match),
+		Service:       route.Service,
+		Class:         route.Class.String(),
+		LatencyTarget: route.LatencyTarget.String(),
+		Timeout:       route.Timeout.String(),
+		Worth:         route.Worth,
+		Idempotent:    route.Idempotent,
+	}
+	if route.CallerLimit != (state.CallerLimit{}) {
+		limit := callerLimitDocument(route.CallerLimit)
+		document.CallerLimit = &limit
+	}
+	return document
+}
+
+func newServiceDocument(service state.Service) serviceDocument {
+	return serviceDocument{
+		Name:            service.Name,
+		Floors:          perClass(service.Floors),
+		QueueLimits:     perClass(service.QueueLimits),
+		SlowStart:       service.SlowStart.String(),
+		RecordRetention: service.RecordRetention.String(),
+	}
+}
+
+func perClass[T any](values [state.ClassCount]T) map[string]T {
+	named := make(map[string]T, len(values))
+	for _, class := range state.Classes() {
+		named[class.String()] = values[class]
+	}
+	return named
+}
--- /dev/null
+++ b/protocol/ticketfile/schema.go
@@ -0,0 +1,160 @@
+package ticketfile
+
+import (
+	"math"
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Defaults of the fields that a ticket may leave out.
+const (
+	defaultPathPrefix      = "/"
+	defaultWorth           = 1.0
+	defaultSlowStart       = 10 * time.Second
+	defaultRecordRetention = 10 * time.Minute
+)
+
+// defaultFloors is the share of slots that each class keeps.
+var defaultFloors = [state.ClassCount]float64{
+	state.ClassCritical:   0.25,
+	state.ClassHigh:       0.15,
+	state.ClassNormal:     0.10,
+	state.ClassBackground: 0.05,
+}
+
+// defaultQueueLimits is the number of calls that may wait in each class.
+var defaultQueueLimits = [state.ClassCount]int{
+	state.ClassCritical:   64,
+	state.ClassHigh:       64,
+	state.ClassNormal:     32,
+	state.ClassBackground: 16,
+}
+
+// decodeTicket reads the whole document into ticket, except for its number,
+// which it returns.
+func decodeTicket(r *reader, ticket *state.Ticket) state.TicketNumber {
+	var number uint64
+	r.object(
+		"",
+		field{"number", true, func(path string) { number = r.integer(path, math.MaxInt64) }},
+		field{"baseline", false, func(path string) { ticket.Baseline = r.boolean(path) }},
+		field{"set", false, func(path string) { ticket.Set = decodeResources(r, path) }},
+		field{"remove", false, func(path string) { ticket.Remove = decodeRemovals(r, path) }},
+	)
+	return state.TicketNumber(number)
+}
+
+func decodeResources(r *reader, path string) state.Resources {
+	var set state.Resources
+	r.object(
+		path,
+		field{"routes", false, func(path string) {
+			set.Routes = decodeArray(r, path, func(path string) state.Route { return decodeRoute(r, path) })
+		}},
+		field{"services", false, func(path string) {
+			set.Services = decodeArray(r, path, func(path string) state.Service { return decodeService(r, path) })
+		}},
+		field{"backend_servers", false, func(path string) {
+			set.BackendServers = decodeArray(r, path, func(path string) state.BackendServer { return decodeBackendServer(r, path) })
+		}},
+	)
+	return set
+}
+
+func decodeRemovals(r *reader, path string) state.Removals {
+	var remove state.Removals
+	r.object(
+		path,
+		field{"routes", false, func(path string) { remove.Routes = decodeNames[state.RouteName](r, path) }},
+		field{"services", false, func(path string) { remove.Services = decodeNames[state.ServiceName](r, path) }},
+		field{"backend_servers", false, func(path string) {
+			remove.BackendServers = decodeNames[state.BackendServerName](r, path)
+		}},
+	)
+	return remove
+}
+
+func decodeNames[T ~string](r *reader, path string) []T {
+	return decodeArray(r, path, func(path string) T { return decodeString[T](r, path) })
+}
+
+func decodeRoute(r *reader, path string) state.Route {
+	route := state.Route{Match: state.Match{PathPrefix: defaultPathPrefix}, Worth: defaultWorth}
+	r.object(
+		path,
+		field{"name", true, func(path string) { route.Name = decodeString[state.RouteName](r, path) }},
+		field{"match", false, func(path string) { decodeMatch(r, path, &route.Match) }},
+		field{"service", true, func(path string) { route.Service = decodeString[state.ServiceName](r, path) }},
+		field{"class", true, func(path string) { route.Class = r.class(path) }},
+		field{"latency_target", true, func(path string) { route.LatencyTarget = r.duration(path) }},
+		field{"timeout", true, func(path string) { route.Timeout = r.duration(path) }},
+		field{"worth", false, func(path string) { route.Worth = r.number(path) }},
+		field{"idempotent", true, func(path string) { route.Idempotent = r.boolean(path) }},
+		field{"caller_limit", false, func(path string) { route.CallerLimit = decodeCallerLimit(r, path) }},
+	)
+	return route
+}
+
+func decodeMatch(r *reader, path string, match *state.Match) {
+	r.object(
+		path,
+		field{"host", false, func(path string) { match.Host = decodeString[string](r, path) }},
+		field{"path_prefix", false, func(path string) { match.PathPrefix = decodeString[string](r, path) }},
+		field{"methods", false, func(path string) { match.Methods = decodeNames[string](r, path) }},
+	)
+}
+
+func decodeCallerLimit(r *reader, path string) state.CallerLimit {
+	var limit state.CallerLimit
+	r.object(
+		path,
+		field{"calls_per_second", true, func(path string) { limit.CallsPerSecond = r.number(path) }},
+		field{"burst", true, func(path string) { limit.Burst = r.count(path) }},
+	)
+	return limit
+}
+
+func decodeService(r *reader, path string) state.Service {
+	service := state.Service{
+		Floors:          defaultFloors,
+		QueueLimits:     defaultQueueLimits,
+		SlowStart:       defaultSlowStart,
+		RecordRetention: defaultRecordRetention,
+	}
+	r.object(
+		path,
+		field{"name", true, func(path string) { service.Name = decodeString[state.ServiceName](r, path) }},
+		field{"floors", false, func(path string) { decodePerClass(r, path, &service.Floors, r.number) }},
+		field{"queue_limits", false, func(path string) { decodePerClass(r, path, &service.QueueLimits, r.count) }},
+		field{"slow_start", false, func(path string) { service.SlowStart = r.duration(path) }},
+		field{"record_retention", false, func(path string) { service.RecordRetention = r.duration(path) }},
+	)
+	return service
+}
+
+// decodePerClass reads an object whose members are named by priority classes.
+// Classes that are not named keep their values.
+func decodePerClass[T any](r *reader, path string, values *[state.ClassCount]T, decode func(path string) T) {
+	var fields []field
+	for _, class := range state.Classes() {
+		fields = append(fields, field{class.String(), false, func(path string) { values[class] = decode(path) }})
+	}
+	r.object(path, fields...)
+}
+
+func decodeBackendServer(r *reader, path string) state.BackendServer {
+	var server state.BackendServer
+	r.object(
+		path,
+		field{"name", true, func(path string) { server.Name = decodeString[state.BackendServerName](r, path) }},
+		field{"service", true, func(path string) { server.Service = decodeString[state.ServiceName](r, path) }},
+		field{"host", true, func(path string) { server.Host = decodeString[state.HostName](r, path) }},
+		field{"zone", true, func(path string) { server.Zone = decodeString[state.AvailabilityZone](r, path) }},
+		field{"address", true, func(path string) { server.Address = decodeString[string](r, path) }},
+		field{"slots", true, func(path string) { server.Slots = r.count(path) }},
+		field{"connections", true, func(path string) { server.Connections = r.count(path) }},
+		field{"draining", false, func(path string) { server.Draining = r.boolean(path) }},
+	)
+	return server
+}
