Keep call records, decide on retries and bound callers

Calls with an idempotency key ran again on every resend, and nothing decided what follows a refusal.

callrecord keeps what became of a keyed call: a resend gets the recorded reply, waits for the call in flight, or is refused as "may have run". A key that may be older than the records of the node is refused; UUIDv7 keys carry the time that tells. Records are in shards by key and are never forgotten early. retry turns a refusal into the next attempt or the true answer, under a budget per node. callerlimit bounds the rate of a caller on a route and its share of the calls in flight.

Nothing measured yet.

--- /dev/null
+++ b/coordination/callerlimit/callerlimit.go
@@ -0,0 +1,115 @@
+// Package callerlimit bounds what one caller may ask of an entry node: the
+// rate of its calls on a route, and its share of the calls in flight.
+package callerlimit
+
+import (
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"golang.org/x/time/rate"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxCallers  = 16_384
+	DefaultMaxInFlight = 4096
+)
+
+const shardCount = 32
+
+// Config holds the settings of Limits.
+type Config struct {
+	// MaxCallers bounds the pairs of caller and route whose rate is
+	// remembered. A pair that is forgotten starts with a full burst. Default
+	// 16384.
+	MaxCallers int
+	// MaxInFlight bounds the calls in flight at this node. Default 4096.
+	MaxInFlight int
+}
+
+// Limits holds the usage of all callers at one entry node. It is safe for use
+// by many threads; rates are in shards by caller and route.
+type Limits struct {
+	rates  [shardCount]rateShard
+	seed   maphash.Seed
+	shares shares
+}
+
+type rateKey struct {
+	caller state.CallerName
+	route  state.RouteName
+}
+
+type rateShard struct {
+	mu       sync.Mutex
+	limiters *simplelru.LRU[rateKey, *rate.Limiter]
+}
+
+// New returns limits for callers that have used nothing.
+func New(config Config) *Limits {
+	if config.MaxCallers == 0 {
+		config.MaxCallers = DefaultMaxCallers
+	}
+	if config.MaxInFlight == 0 {
+		config.MaxInFlight = DefaultMaxInFlight
+	}
+	limits := &Limits{seed: maphash.MakeSeed(), shares: newShares(config.MaxInFlight)}
+	for i := range limits.rates {
+		// NewLRU fails for a size below one only.
+		limits.rates[i].limiters, _ = simplelru.NewLRU[rateKey, *rate.Limiter](
+			max(1, config.MaxCallers/shardCount), nil)
+	}
+	return limits
+}
+
+// Begin counts the start of a call. When it returns nil, End must be called
+// once the call has ended.
+func (l *Limits) Begin(now time.Time, caller state.CallerName, route state.Route) *state.Refusal {
+	if refusal := l.checkRate(now, caller, route); refusal != nil {
+		return refusal
+	}
+	return l.shares.begin(caller)
+}
+
+// End counts the end of a call for which Begin returned nil.
+func (l *Limits) End(caller state.CallerName) { l.shares.end(caller) }
+
+func (l *Limits) checkRate(now time.Time, caller state.CallerName, route state.Route) *state.Refusal {
+	if route.CallerLimit == (state.CallerLimit{}) {
+		return nil
+	}
+	key := rateKey{caller: caller, route: route.Name}
+	reservation := l.limiter(now, key, route.CallerLimit).ReserveN(now, 1)
+	if !reservation.OK() {
+		return state.NotRun(state.RefusedCallerLimit, "the route takes no calls from the caller")
+	}
+	wait := reservation.DelayFrom(now)
+	if wait == 0 {
+		return nil
+	}
+	reservation.CancelAt(now)
+	refusal := state.NotRun(state.RefusedCallerLimit, "the caller exceeds its rate on the route")
+	refusal.RetryAfter = wait
+	return refusal
+}
+
+func (l *Limits) limiter(now time.Time, key rateKey, limit state.CallerLimit) *rate.Limiter {
+	shard := &l.rates[maphash.Comparable(l.seed, key)%shardCount]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	limiter, ok := shard.limiters.Get(key)
+	if !ok {
+		limiter = rate.NewLimiter(rate.Limit(limit.CallsPerSecond), limit.Burst)
+		shard.limiters.Add(key, limiter)
+		return limiter
+	}
+	if limiter.Limit() != rate.Limit(limit.CallsPerSecond) || limiter.Burst() != limit.Burst {
+		limiter.SetLimitAt(now, rate.Limit(limit.CallsPerSecond))
+		limiter.SetBurstAt(now, limit.Burst)
+	}
+	return limiter
+}
--- /dev/null
+++ b/coordination/callrecord/refusals.go
@@ -0,0 +1,33 @@
+package callrecord
+
+import "github.com/wasabiport/wasabiport/state"
+
+func conflictingRequest() *state.Refusal {
+	return state.NotRun(state.RefusedConflict, "the idempotency key belongs to another request")
+}
+
+func mayHaveRunBeforeStart() *state.Refusal {
+	return state.MayHaveRun(state.RefusedConflict,
+		"the idempotency key may be older than the records of this node")
+}
+
+func mayHaveRunForgotten() *state.Refusal {
+	return state.MayHaveRun(state.RefusedConflict,
+		"the idempotency key is older than the time for which outcomes are kept")
+}
+
+func replyNotKept() *state.Refusal {
+	return state.MayHaveRun(state.RefusedConflict,
+		"the call with this idempotency key is done; its reply was too large to be kept")
+}
+
+func notRunRecordsFull() *state.Refusal {
+	return state.NotRun(state.RefusedQueueFull, "the records of calls with an idempotency key are full")
+}
+
+// mayHaveRun returns refusal with the outcome of a call that was sent.
+func mayHaveRun(refusal *state.Refusal) *state.Refusal {
+	changed := *refusal
+	changed.Outcome = state.OutcomeMayHaveRun
+	return &changed
+}
--- /dev/null
+++ b/coordination/retry/retry.go
@@ -0,0 +1,183 @@
+// Package retry decides at the entry node what follows the refusal of an
+// attempt: another attempt, or the answer to the caller.
+//
+// Only refusals are retried. An answer of a backend server goes to the caller
+// whatever its status, so that of a chain of services only the one that got
+// the refusal tries again.
+package retry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxAttempts = 3
+	DefaultBaseDelay   = 10 * time.Millisecond
+	DefaultMaxDelay    = time.Second
+)
+
+// Config holds the settings of a Policy.
+type Config struct {
+	// MaxAttempts bounds the attempts of one call, the first included.
+	// Default 3.
+	MaxAttempts int
+	// BaseDelay bounds the delay before the second attempt at the same
+	// backend server. The bound doubles with each attempt, and the delay is
+	// drawn evenly from 0 to the bound. Default 10 milliseconds.
+	BaseDelay time.Duration
+	// MaxDelay bounds every delay. Default 1 second.
+	MaxDelay time.Duration
+}
+
+// Action says what follows a refusal.
+type Action uint8
+
+// The actions.
+const (
+	// ActionAnswer gives Decision.Refusal to the caller.
+	ActionAnswer Action = iota
+	// ActionOtherServer tries a backend server that was not tried.
+	ActionOtherServer
+	// ActionSameServer tries the same backend server again after
+	// Decision.Delay, because only it can have the record of the call.
+	ActionSameServer
+)
+
+// Decision is what follows a refusal.
+type Decision struct {
+	Action Action
+	// Delay is how long to wait before the next attempt.
+	Delay time.Duration
+	// Refusal is true for the whole call, not just for its last attempt. Set
+	// for ActionAnswer.
+	Refusal *state.Refusal
+}
+
+// Policy decides on retries. It is safe for use by many threads.
+type Policy struct {
+	config Config
+	budget *Budget
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// NewPolicy returns a policy that spends from budget.
+func NewPolicy(config Config, budget *Budget, random *rand.Rand) *Policy {
+	if config.MaxAttempts == 0 {
+		config.MaxAttempts = DefaultMaxAttempts
+	}
+	if config.BaseDelay == 0 {
+		config.BaseDelay = DefaultBaseDelay
+	}
+	if config.MaxDelay == 0 {
+		config.MaxDelay = DefaultMaxDelay
+	}
+	return &Policy{config: config, budget: budget, random: random}
+}
+
+// Decide says what follows the refusal of an attempt. attempts counts the
+// attempts so far. An attempt that was refused as MayHaveRun must be the last
+// one of a call that is not idempotent; Decide never asks for another.
+func (p *Policy) Decide(now time.Time, head call.Head, refusal *state.Refusal, attempts int) Decision {
+	action := nextAction(head, refusal)
+	if action == ActionAnswer || attempts >= p.config.MaxAttempts {
+		return answer(head, refusal)
+	}
+	var delay time.Duration
+	if action == ActionSameServer {
+		delay = p.delay(attempts)
+	}
+	if !now.Add(delay).Before(head.Deadline) || !p.budget.Spend() {
+		return answer(head, refusal)
+	}
+	return Decision{Action: action, Delay: delay}
+}
+
+func (p *Policy) delay(attempts int) time.Duration {
+	bound := p.config.BaseDelay
+	for i := 1; i < attempts && bound < p.config.MaxDelay; i++ {
+		bound *= 2
+	}
+	bound = min(bound, p.config.MaxDelay)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.random.Int64N(int64(bound) + 1))
+}
+
+// Keyed reports whether at most one guard may run the call: the one that keeps
+// the record of its idempotency key.
+func Keyed(head call.Head) bool { return head.IdempotencyKey != "" && !head.Idempotent }
+
+func nextAction(head call.Head, refusal *state.Refusal) Action {
+	switch {
+	case refusal.Outcome == state.OutcomeMayHaveRun && !head.Idempotent:
+		return ActionAnswer
+	case !worthRetrying(refusal.Reason):
+		return ActionAnswer
+	case Keyed(head) && refusal.Reason != state.RefusedDraining:
+		return ActionSameServer
+	default:
+		return ActionOtherServer
+	}
+}
+
+// worthRetrying reports whether another attempt may fare better.
+func worthRetrying(reason state.RefusalReason) bool {
+	switch reason {
+	case state.RefusedQueueFull,
+		state.RefusedDeadline,
+		state.RefusedDraining,
+		state.RefusedNotReady,
+		state.RefusedBehind,
+		state.RefusedUnreachable,
+		state.RefusedBackendServerFailed,
+		state.RefusedShed:
+		return true
+	default:
+		return false
+	}
+}
+
+// answer returns the refusal that is true for the whole call.
+func answer(head call.Head, refusal *state.Refusal) Decision {
+	if recordUnread(refusal.Reason) {
+		refusal = Unasked(head, refusal)
+	}
+	return Decision{Action: ActionAnswer, Refusal: refusal}
+}
+
+// Unasked returns the refusal that is true for a call when the guard that
+// would have the record of its idempotency key was not asked: an earlier call
+// with the key may have run there.
+func Unasked(head call.Head, refusal *state.Refusal) *state.Refusal {
+	if !Keyed(head) || refusal.Outcome != state.OutcomeNotRun {
+		return refusal
+	}
+	return &state.Refusal{
+		Reason:     refusal.Reason,
+		Outcome:    state.OutcomeMayHaveRun,
+		Detail:     "the record of the idempotency key was not read: " + refusal.Detail,
+		RetryAfter: refusal.RetryAfter,
+	}
+}
+
+// recordUnread reports whether the refusal of an attempt came without a look
+// at the record of the call's key.
+func recordUnread(reason state.RefusalReason) bool {
+	switch reason {
+	case state.RefusedUnreachable,
+		state.RefusedNoBackendServer,
+		state.RefusedBehind,
+		state.RefusedNotReady:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/coordination/retry/retry_test.go
@@ -0,0 +1,127 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/retry"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+var now = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func newPolicy(budget retry.BudgetConfig) *retry.Policy {
+	return retry.NewPolicy(retry.Config{}, retry.NewBudget(budget), rand.New(rand.NewPCG(1, 2)))
+}
+
+func TestDecide(t *testing.T) {
+	idempotent := call.Head{Idempotent: true, Deadline: now.Add(time.Minute)}
+	plain := call.Head{Deadline: now.Add(time.Minute)}
+	keyed := call.Head{IdempotencyKey: "k", Deadline: now.Add(time.Minute)}
+	late := call.Head{Idempotent: true, Deadline: now}
+	tests := map[string]struct {
+		head     call.Head
+		refusal  *state.Refusal
+		attempts int
+		action   retry.Action
+		outcome  state.Outcome
+	}{
+		"not run": {
+			head: plain, refusal: state.NotRun(state.RefusedQueueFull, ""), attempts: 1,
+			action: retry.ActionOtherServer,
+		},
+		"may have run, idempotent": {
+			head: idempotent, refusal: state.MayHaveRun(state.RefusedBackendServerFailed, ""), attempts: 1,
+			action: retry.ActionOtherServer,
+		},
+		"may have run, not idempotent": {
+			head: plain, refusal: state.MayHaveRun(state.RefusedBackendServerFailed, ""), attempts: 1,
+			outcome: state.OutcomeMayHaveRun,
+		},
+		"last attempt": {
+			head: plain, refusal: state.NotRun(state.RefusedQueueFull, ""), attempts: 3,
+			outcome: state.OutcomeNotRun,
+		},
+		"deadline passed": {
+			head: late, refusal: state.NotRun(state.RefusedQueueFull, ""), attempts: 1,
+			outcome: state.OutcomeNotRun,
+		},
+		"quarantined": {
+			head: idempotent, refusal: state.NotRun(state.RefusedQuarantined, ""), attempts: 1,
+			outcome: state.OutcomeNotRun,
+		},
+		"canceled": {
+			head: idempotent, refusal: state.MayHaveRun(state.RefusedCanceled, ""), attempts: 1,
+			outcome: state.OutcomeMayHaveRun,
+		},
+		"key whose guard is full": {
+			head: keyed, refusal: state.NotRun(state.RefusedQueueFull, ""), attempts: 1,
+			action: retry.ActionSameServer,
+		},
+		"key whose guard drains": {
+			head: keyed, refusal: state.NotRun(state.RefusedDraining, ""), attempts: 1,
+			action: retry.ActionOtherServer,
+		},
+		"key whose guard is lost": {
+			head: keyed, refusal: state.NotRun(state.RefusedUnreachable, ""), attempts: 3,
+			outcome: state.OutcomeMayHaveRun,
+		},
+		"key whose guard stayed full": {
+			head: keyed, refusal: state.NotRun(state.RefusedQueueFull, ""), attempts: 3,
+			outcome: state.OutcomeNotRun,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			decision := newPolicy(retry.BudgetConfig{}).Decide(now, test.head, test.refusal, test.attempts)
+			require.Equal(t, test.action, decision.Action)
+			if test.action == retry.ActionAnswer {
+				require.Equal(t, test.outcome, decision.Refusal.Outcome)
+				require.Equal(t, test.refusal.Reason, decision.Refusal.Reason)
+			}
+		})
+	}
+}
+
+func TestBudgetBoundsRetriesToAShareOfTheCalls(t *testing.T) {
+	const calls = 1000
+	budget := retry.NewBudget(retry.BudgetConfig{Share: 0.1, Capacity: 10})
+	retries := 0
+	for range calls {
+		budget.Earn()
+		for budget.Spend() {
+			retries++
+		}
+	}
+	require.LessOrEqual(t, retries, calls/10+10)
+	require.GreaterOrEqual(t, retries, calls/10)
+}
+
+// attemptsInChain returns how many calls reach the last of depth services when
+// the last one refuses every call and every other one answers its caller with
+// an error of its own.
+func attemptsInChain(policy *retry.Policy, depth int) int {
+	if depth == 1 {
+		return 1
+	}
+	reached := 0
+	for attempts := 1; ; attempts++ {
+		reached += attemptsInChain(policy, depth-1)
+		if depth > 2 {
+			return reached // an answer of a backend server is not retried
+		}
+		head := call.Head{Idempotent: true, Deadline: now.Add(time.Minute)}
+		decision := policy.Decide(now, head, state.NotRun(state.RefusedQueueFull, ""), attempts)
+		if decision.Action == retry.ActionAnswer {
+			return reached
+		}
+	}
+}
+
+func TestChainOfTwelveDoesNotMultiplyRetries(t *testing.T) {
+	require.Equal(t, retry.DefaultMaxAttempts, attemptsInChain(newPolicy(retry.BudgetConfig{}), 12))
+}
