--- /dev/null
+++ b/internal/standin/readcounter.go
@@ -0,0 +1,47 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// readCounter limits and counts reads.
+type readCounter struct {
+	limiter *rate.Limiter
+
+	mu       sync.Mutex
+	total    int
+	second   int64
+	inSecond int
+	peak     int
+}
+
+func newReadCounter(readsPerSecond int) readCounter {
+	return readCounter{limiter: rate.NewLimiter(rate.Limit(readsPerSecond), readsPerSecond)}
+}
+
+// take counts a read and reports whether it is within the limit.
+func (c *readCounter) take(now time.Time) bool {
+	c.count(now)
+	return c.limiter.AllowN(now, 1)
+}
+
+func (c *readCounter) count(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if second := now.Unix(); second != c.second {
+		c.second = second
+		c.inSecond = 0
+	}
+	c.total++
+	c.inSecond++
+	c.peak = max(c.peak, c.inSecond)
+}
+
+func (c *readCounter) figures() (total, peak int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.total, c.peak
+}
