Check every field of a ticket and name all faults with their paths

Acceptance only checked that references resolve, named no place in the ticket and stopped at what the whole configuration showed. It now checks names, limits, sizes, sums of floors, duplicates, removals and conflicting matches, and lists every fault (64 at most) with its path.

--- a/coordination/acceptance/acceptance.go
+++ b/coordination/acceptance/acceptance.go
@@ -8,14 +8,19 @@
 // Judge returns the configuration after ticket and the verdict on it. A
 // rejected ticket leaves the resources as they were and only moves the number
 // of the latest judged ticket forward. The number of ticket must follow the
-// latest ticket that before has judged, unless ticket is a baseline.
+// latest ticket that before has judged, unless ticket is a baseline. The
+// verdict on a baseline does not depend on before.
 func Judge(before *state.Snapshot, ticket state.Ticket) (*state.Snapshot, state.Verdict) {
 	verdict := state.Verdict{Number: ticket.Number, Faults: CheckTicket(ticket)}
 	if !verdict.Accepted() {
 		return before.WithJudged(ticket.Number), verdict
 	}
-	after := apply(before, ticket)
-	verdict.Faults = checkReferences(after)
+	base := before
+	if ticket.Baseline {
+		base = state.EmptySnapshot()
+	}
+	after := apply(base, ticket)
+	verdict.Faults = checkChange(base, after, ticket)
 	if !verdict.Accepted() {
 		return before.WithJudged(ticket.Number), verdict
 	}
@@ -23,11 +28,16 @@
 }
 
 func apply(before *state.Snapshot, ticket state.Ticket) *state.Snapshot {
-	if ticket.Baseline {
-		before = nil
-	}
 	builder := state.NewSnapshotBuilder(before)
 	builder.Remove(ticket.Remove)
 	builder.Set(ticket.Set)
 	return builder.Build(ticket.Number, ticket.Number)
 }
+
+// CheckSnapshot returns the faults of a whole configuration that another node
+// has sent, so that an inconsistent one is never put in force.
+func CheckSnapshot(snapshot *state.Snapshot) []state.Fault {
+	ticket := state.Ticket{Number: 1, Baseline: true, Set: snapshot.Resources()}
+	_, verdict := Judge(state.EmptySnapshot(), ticket)
+	return verdict.Faults
+}
--- /dev/null
+++ b/coordination/acceptance/faults.go
@@ -0,0 +1,52 @@
+package acceptance
+
+import (
+	"fmt"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// maxFaults bounds the faults that one verdict lists.
+const maxFaults = 64
+
+// maxQuotedBytes bounds the part of a name that a reason repeats.
+const maxQuotedBytes = 64
+
+// faultList collects the faults of one ticket in the order of its fields.
+type faultList struct {
+	faults  []state.Fault
+	omitted int
+}
+
+func (l *faultList) add(path, format string, arguments ...any) {
+	if len(l.faults) >= maxFaults {
+		l.omitted++
+		return
+	}
+	l.faults = append(l.faults, state.Fault{Path: path, Reason: fmt.Sprintf(format, arguments...)})
+}
+
+func (l *faultList) addAll(faults []state.Fault) {
+	for _, fault := range faults {
+		l.add(fault.Path, "%s", fault.Reason)
+	}
+}
+
+// list returns the faults; the last one counts those that did not fit.
+func (l *faultList) list() []state.Fault {
+	if l.omitted == 0 {
+		return l.faults
+	}
+	reason := fmt.Sprintf("%d more faults are not listed", l.omitted)
+	return append(l.faults, state.Fault{Path: "ticket", Reason: reason})
+}
+
+// quote returns text for a reason, cut to maxQuotedBytes.
+func quote[T ~string](text T) string {
+	if len(text) <= maxQuotedBytes {
+		return fmt.Sprintf("%q", string(text))
+	}
+	return fmt.Sprintf("%q...", string(text[:maxQuotedBytes]))
+}
+
+func element(list string, index int) string { return fmt.Sprintf("%s[%d]", list, index) }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -12,6 +12,7 @@
 	judged         TicketNumber
 	accepted       TicketNumber
 	digest         Digest
+	resourceSum    uint64
 	routes         map[RouteName]Route
 	services       map[ServiceName]Service
 	backendServers map[BackendServerName]BackendServer
@@ -59,8 +60,9 @@
 }
 
 // RoutesForHost returns the routes whose match names exactly this host (empty
-// for routes that match every host), longest path prefix first. The caller
-// must not change the slice.
+// for routes that match every host), longest path prefix first and among equal
+// prefixes those that name methods first. The caller must not change the
+// slice.
 func (s *Snapshot) RoutesForHost(host string) []Route {
 	return s.routesByHost[host]
 }
