Serve a call end to end through entry and guard nodes

Cause: decisions and messages existed, but nothing ran. Change: transport holds sessions between nodes (yamux, one connection a lane), call streams, the guard that alone connects to its host's backend servers, the entry for callers, the control loop that carries out what the plane decides, and the operators' listener. The root package assembles them with google/wire and offers Create, Leave and Shutdown.

--- /dev/null
+++ b/config.go
@@ -0,0 +1,59 @@
+package wasabiport
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/network"
+)
+
+// Config holds the settings of a Node. DefaultConfig returns one with all
+// defaults; an embedding program sets the fields without default.
+type Config struct {
+	// Self is the host of the node: its name, availability zone, region and
+	// the IP address and port on which it listens for other nodes. No
+	// default.
+	Self state.Host
+	// CallerAddress is the IP address and port for callers. No default.
+	CallerAddress string
+	// OperatorAddress is the IP address and port for operators. No default.
+	OperatorAddress string
+	// PlatformURL is the base URL of the platform's configuration service.
+	// No default.
+	PlatformURL string
+
+	// OfferInterval is the mean time between two exchanges of digests with a
+	// random peer, which make up for lost messages. A shorter one repairs
+	// sooner and costs more control bytes. Default 5 s.
+	OfferInterval time.Duration
+	// SourceRetryInterval is the time after which a source that failed is
+	// read again. Default 1 s.
+	SourceRetryInterval time.Duration
+	// HandshakeTimeout bounds the time to open a session to a peer. Default
+	// 3 s.
+	HandshakeTimeout time.Duration
+	// RedialInterval is the time between two tries to reach a peer. Default
+	// 1 s.
+	RedialInterval time.Duration
+
+	// Seed makes the random choices of the node repeatable. 0 takes a random
+	// seed. Default 0.
+	Seed uint64
+	// Network carries the sessions between nodes. Default network.TCP.
+	Network network.Network
+	// HTTPClient reads the platform. Default http.DefaultClient.
+	HTTPClient *http.Client
+}
+
+// DefaultConfig returns the settings for a fleet in a few regions.
+func DefaultConfig() Config {
+	return Config{
+		OfferInterval:       5 * time.Second,
+		SourceRetryInterval: time.Second,
+		HandshakeTimeout:    3 * time.Second,
+		RedialInterval:      time.Second,
+		Network:             network.TCP{},
+		HTTPClient:          http.DefaultClient,
+	}
+}
--- /dev/null
+++ b/node.go
@@ -0,0 +1,133 @@
+// Package wasabiport is a configuration distribution system for a service
+// mesh as a library. A Node is the one process that runs in the slot of each
+// backend server host: it accepts callers' requests, guards the backend
+// servers of its host, and takes part in the distribution of tickets.
+package wasabiport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/transport/callstream"
+	"github.com/wasabiport/wasabiport/transport/controlloop"
+	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/peering"
+)
+
+// ErrNotReady means that the node does not know any configuration yet.
+var ErrNotReady = errors.New("no configuration is known yet")
+
+// readHeaderTimeout bounds the time in which a caller sends its headers.
+const readHeaderTimeout = 5 * time.Second
+
+// Node is one node of the fleet.
+type Node struct {
+	config    Config
+	plane     *control.Plane
+	guard     *guard.Guard
+	loop      *controlloop.Loop
+	pool      *peering.Pool
+	callers   *http.Server
+	operators *http.Server
+	listeners listeners
+	threads   sync.WaitGroup
+}
+
+type listeners struct {
+	peers     net.Listener
+	callers   net.Listener
+	operators net.Listener
+}
+
+// Create listens on the node's addresses and starts the node. It returns an
+// error, and leaves nothing behind, when an address can't be had.
+func Create(ctx context.Context, config Config) (*Node, error) {
+	node, err := assemble(config)
+	if err != nil {
+		return nil, err
+	}
+	if err := node.listen(ctx); err != nil {
+		return nil, err
+	}
+	node.start()
+	return node, nil
+}
+
+func (n *Node) listen(ctx context.Context) error {
+	var err error
+	if n.listeners.peers, err = n.config.Network.Listen(ctx, n.config.Self.PeerAddress); err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	if n.listeners.callers, err = n.config.Network.Listen(ctx, n.config.CallerAddress); err != nil {
+		_ = n.listeners.peers.Close()
+		return errors.Wrap(err, "listen for callers")
+	}
+	if n.listeners.operators, err = n.config.Network.Listen(ctx, n.config.OperatorAddress); err != nil {
+		_ = n.listeners.peers.Close()
+		_ = n.listeners.callers.Close()
+		return errors.Wrap(err, "listen for operators")
+	}
+	return nil
+}
+
+func (n *Node) start() {
+	n.threads.Go(func() { _ = n.pool.Serve(n.listeners.peers) })
+	n.threads.Go(func() { _ = n.callers.Serve(n.listeners.callers) })
+	n.threads.Go(func() { _ = n.operators.Serve(n.listeners.operators) })
+	n.loop.Start(n.pool)
+}
+
+// CallerAddress returns the address on which the node listens for callers.
+func (n *Node) CallerAddress() string { return n.listeners.callers.Addr().String() }
+
+// OperatorAddress returns the address on which the node listens for operators.
+func (n *Node) OperatorAddress() string { return n.listeners.operators.Addr().String() }
+
+// Ready returns nil when the node serves callers.
+func (n *Node) Ready() error {
+	if n.plane.Head().Accepted == 0 {
+		return ErrNotReady
+	}
+	return nil
+}
+
+// Head returns how far the node has come.
+func (n *Node) Head() control.Head { return n.plane.Head() }
+
+// Leave ends the node gracefully: it takes no new calls, finishes those that
+// run, and then closes everything. When ctx ends first it cuts what is left
+// and returns the context's error.
+func (n *Node) Leave(ctx context.Context) error {
+	n.guard.Leave()
+	err := n.callers.Shutdown(ctx)
+	n.Shutdown()
+	return errors.Wrap(err, "finish calls")
+}
+
+// Shutdown ends the node at once and cuts the calls that run.
+func (n *Node) Shutdown() {
+	_ = n.callers.Close()
+	_ = n.operators.Close()
+	_ = n.listeners.peers.Close()
+	n.loop.Shutdown()
+	n.pool.Shutdown()
+	n.threads.Wait()
+}
+
+// peerHandler passes what arrives from peers to the node's parts.
+type peerHandler struct {
+	*controlloop.Loop
+	guard *guard.Guard
+}
+
+// ServeCall handles the call of a stream.
+func (h peerHandler) ServeCall(ctx context.Context, stream net.Conn) {
+	// A stream that is lost has told its entry node so already.
+	_ = callstream.Serve(ctx, stream, h.guard)
+}
--- /dev/null
+++ b/protocol/callwire/head.go
@@ -0,0 +1,115 @@
+// Package callwire maps calls, replies and refusals to protobuf and back.
+package callwire
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/protocol/frame"
+	"github.com/wasabiport/wasabiport/protocol/wirepb"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// EncodeHead returns the protobuf form of a call's head. The deadline is sent
+// as the time that remains at now.
+func EncodeHead(now time.Time, head call.Head) *wirepb.CallHead {
+	return &wirepb.CallHead{
+		Id:             string(head.ID),
+		Ticket:         uint64(head.Ticket),
+		Route:          string(head.Route),
+		BackendServer:  string(head.BackendServer),
+		PriorityClass:  uint32(head.Class),
+		Caller:         string(head.Caller),
+		RemainingNanos: int64(head.Deadline.Sub(now)),
+		Fingerprint:    uint64(head.Fingerprint),
+		IdempotencyKey: head.IdempotencyKey,
+		Idempotent:     head.Idempotent,
+		Method:         head.Method,
+		Target:         head.Target,
+		Authority:      head.Authority,
+		Fields:         encodeFields(head.Fields),
+		ContentLength:  head.ContentLength,
+	}
+}
+
+// DecodeHead returns the head of a call. Its errors are marked with
+// frame.ErrMalformed.
+func DecodeHead(now time.Time, message *wirepb.CallHead) (call.Head, error) {
+	if message.GetPriorityClass() >= state.ClassCount {
+		return call.Head{}, malformed("call has priority class %d", message.GetPriorityClass())
+	}
+	if message.GetId() == "" || message.GetBackendServer() == "" {
+		return call.Head{}, malformed("call names no id or no backend server")
+	}
+	return call.Head{
+		ID:             state.CallID(message.GetId()),
+		Ticket:         state.TicketNumber(message.GetTicket()),
+		Route:          state.RouteName(message.GetRoute()),
+		BackendServer:  state.BackendServerName(message.GetBackendServer()),
+		Class:          state.PriorityClass(message.GetPriorityClass()),
+		Caller:         state.CallerName(message.GetCaller()),
+		Deadline:       now.Add(time.Duration(message.GetRemainingNanos())),
+		Fingerprint:    state.Fingerprint(message.GetFingerprint()),
+		IdempotencyKey: message.GetIdempotencyKey(),
+		Idempotent:     message.GetIdempotent(),
+		Method:         message.GetMethod(),
+		Target:         message.GetTarget(),
+		Authority:      message.GetAuthority(),
+		Fields:         decodeFields(message.GetFields()),
+		ContentLength:  message.GetContentLength(),
+	}, nil
+}
+
+// EncodeReplyHead returns the protobuf form of a reply's head.
+func EncodeReplyHead(head call.ReplyHead) *wirepb.ReplyHead {
+	return &wirepb.ReplyHead{
+		Id:            string(head.ID),
+		Status:        uint32(head.Status),
+		Fields:        encodeFields(head.Fields),
+		ContentLength: head.ContentLength,
+		Load:          encodeLoad(head.Load),
+	}
+}
+
+// DecodeReplyHead returns the head of a reply.
+func DecodeReplyHead(message *wirepb.ReplyHead) call.ReplyHead {
+	return call.ReplyHead{
+		ID:            state.CallID(message.GetId()),
+		Status:        int(message.GetStatus()),
+		Fields:        decodeFields(message.GetFields()),
+		ContentLength: message.GetContentLength(),
+		Load:          decodeLoad(message.GetLoad()),
+	}
+}
+
+// EncodeEnd returns the marker that closes a body of the given length.
+func EncodeEnd(bodyBytes uint64, trailers []call.Field) *wirepb.End {
+	return &wirepb.End{BodyBytes: bodyBytes, Trailers: encodeFields(trailers)}
+}
+
+// DecodeTrailers returns the trailers of an end marker.
+func DecodeTrailers(message *wirepb.End) []call.Field {
+	return decodeFields(message.GetTrailers())
+}
+
+func encodeFields(fields []call.Field) []*wirepb.Field {
+	messages := make([]*wirepb.Field, 0, len(fields))
+	for _, field := range fields {
+		messages = append(messages, &wirepb.Field{Name: field.Name, Value: field.Value})
+	}
+	return messages
+}
+
+func decodeFields(messages []*wirepb.Field) []call.Field {
+	fields := make([]call.Field, 0, len(messages))
+	for _, message := range messages {
+		fields = append(fields, call.Field{Name: message.GetName(), Value: message.GetValue()})
+	}
+	return fields
+}
+
+func malformed(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), frame.ErrMalformed)
+}
--- /dev/null
+++ b/protocol/handshake/handshake.go
@@ -0,0 +1,115 @@
+// Package handshake holds the rules by which two nodes open a session.
+package handshake
+
+import (
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiport/wasabiport/protocol/frame"
+	"github.com/wasabiport/wasabiport/protocol/wirepb"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Version is the version of the protocol between nodes.
+const Version = 1
+
+// maxHelloBytes bounds the first message of a peer that is not known yet.
+const maxHelloBytes = 4 << 10
+
+// Lane is what a session is used for. Each lane has a connection of its own,
+// so that a large body never delays a small urgent answer.
+type Lane uint8
+
+// The lanes between two nodes.
+const (
+	// LaneControl carries control messages.
+	LaneControl Lane = iota + 1
+	// LaneUrgent carries calls of the classes critical and high.
+	LaneUrgent
+	// LaneBulk carries all other calls.
+	LaneBulk
+)
+
+// LaneOf returns the lane for calls of a class.
+func LaneOf(class state.PriorityClass) Lane {
+	if class <= state.ClassHigh {
+		return LaneUrgent
+	}
+	return LaneBulk
+}
+
+// Hello is what a node says of itself when a session starts.
+type Hello struct {
+	Host        state.HostName
+	Zone        state.AvailabilityZone
+	Incarnation uint64
+	Lane        Lane
+}
+
+// RefusedError says that the peer did not accept the session.
+type RefusedError struct {
+	Reason string
+	// RetryAfter is when to come back; 0 means that nothing is known.
+	RetryAfter time.Duration
+}
+
+// Error describes the refusal.
+func (e *RefusedError) Error() string { return "session refused by peer: " + e.Reason }
+
+// Send writes a hello.
+func Send(stream io.Writer, hello Hello) error {
+	return frame.Write(stream, &wirepb.Hello{
+		Version:     Version,
+		Host:        string(hello.Host),
+		Zone:        string(hello.Zone),
+		Incarnation: hello.Incarnation,
+		Lane:        wirepb.Lane(hello.Lane),
+	})
+}
+
+// Refuse writes a refusal in place of a hello.
+func Refuse(stream io.Writer, reason string, retryAfter time.Duration) error {
+	return frame.Write(stream, &wirepb.Hello{
+		Version:          Version,
+		Refusal:          reason,
+		RetryAfterMillis: uint32(retryAfter.Milliseconds()),
+	})
+}
+
+// Receive reads the peer's hello. It returns a *RefusedError when the peer
+// refuses, and an error marked with frame.ErrMalformed when the peer breaks
+// the protocol.
+func Receive(stream *frame.Reader) (Hello, error) {
+	var message wirepb.Hello
+	if err := frame.Read(stream, &message, maxHelloBytes); err != nil {
+		return Hello{}, errors.Wrap(err, "read hello")
+	}
+	if message.GetRefusal() != "" {
+		return Hello{}, &RefusedError{
+			Reason:     message.GetRefusal(),
+			RetryAfter: time.Duration(message.GetRetryAfterMillis()) * time.Millisecond,
+		}
+	}
+	if message.GetVersion() != Version {
+		return Hello{}, malformed("peer speaks version %d of the protocol, want %d", message.GetVersion(), Version)
+	}
+	if message.GetHost() == "" {
+		return Hello{}, malformed("peer names no host")
+	}
+	lane := Lane(message.GetLane())
+	if lane < LaneControl || lane > LaneBulk {
+		return Hello{}, malformed("peer %q asks for unknown lane %d", message.GetHost(), message.GetLane())
+	}
+	return Hello{
+		Host:        state.HostName(message.GetHost()),
+		Zone:        state.AvailabilityZone(message.GetZone()),
+		Incarnation: message.GetIncarnation(),
+		Lane:        lane,
+	}, nil
+}
+
+func malformed(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), frame.ErrMalformed)
+}
--- /dev/null
+++ b/providers.go
@@ -0,0 +1,123 @@
+package wasabiport
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/picking"
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/callstream"
+	"github.com/wasabiport/wasabiport/transport/controlloop"
+	"github.com/wasabiport/wasabiport/transport/entry"
+	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/operator"
+	"github.com/wasabiport/wasabiport/transport/peering"
+	"github.com/wasabiport/wasabiport/transport/platform"
+)
+
+// snapshotShardCount is the number of shards of the snapshot store.
+const snapshotShardCount = 16
+
+// incarnation is the start time of the node in nanoseconds since 1970.
+type incarnation uint64
+
+func newIncarnation() incarnation { return incarnation(time.Now().UnixNano()) }
+
+func newSnapshotStore() *state.SnapshotStore { return state.NewSnapshotStore(snapshotShardCount) }
+
+func newRegistry() (*prometheus.Registry, error) {
+	registry := prometheus.NewRegistry()
+	if err := registry.Register(collectors.NewGoCollector()); err != nil {
+		return nil, errors.Wrap(err, "register runtime metrics")
+	}
+	return registry, nil
+}
+
+// newRandom returns a random source of its own for one part of the node, since
+// a source must not be shared by threads.
+func newRandom(config Config, part uint64) *rand.Rand {
+	seed := config.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return rand.New(rand.NewPCG(seed, part))
+}
+
+// Parts of the node that have a random source.
+const (
+	randomOfPlane uint64 = iota + 1
+	randomOfPicker
+)
+
+func newPlane(config Config, started incarnation, snapshots *state.SnapshotStore) *control.Plane {
+	settings := control.Config{
+		Self:                config.Self,
+		Incarnation:         uint64(started),
+		OfferInterval:       config.OfferInterval,
+		SourceRetryInterval: config.SourceRetryInterval,
+	}
+	return control.NewPlane(settings, snapshots, newRandom(config, randomOfPlane))
+}
+
+func newPicker(config Config, hosts picking.HostPhases) *picking.Picker {
+	return picking.NewPicker(picking.Config{Zone: config.Self.Zone}, hosts, newRandom(config, randomOfPicker))
+}
+
+func newSource(config Config) *platform.Client {
+	return platform.NewClient(config.PlatformURL, config.HTTPClient)
+}
+
+func newGuard(config Config, snapshots *state.SnapshotStore) *guard.Guard {
+	return guard.New(config.Self.Name, snapshots, config.Network)
+}
+
+func newPool(config Config, started incarnation, loop *controlloop.Loop, guard *guard.Guard) *peering.Pool {
+	settings := peering.Config{
+		Self:             config.Self,
+		Incarnation:      uint64(started),
+		HandshakeTimeout: config.HandshakeTimeout,
+		RedialInterval:   config.RedialInterval,
+	}
+	return peering.NewPool(settings, config.Network, peerHandler{Loop: loop, guard: guard})
+}
+
+func newEntry(
+	config Config,
+	snapshots *state.SnapshotStore,
+	picker *picking.Picker,
+	hosts entry.Hosts,
+	dialer entry.Dialer,
+	local callstream.Handler,
+) *entry.Handler {
+	return entry.NewHandler(config.Self.Name, snapshots, picker, hosts, dialer, local)
+}
+
+func newNode(
+	config Config,
+	plane *control.Plane,
+	guard *guard.Guard,
+	loop *controlloop.Loop,
+	pool *peering.Pool,
+	handler *entry.Handler,
+	registry *prometheus.Registry,
+) *Node {
+	node := &Node{
+		config:  config,
+		plane:   plane,
+		guard:   guard,
+		loop:    loop,
+		pool:    pool,
+		callers: &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
+	}
+	node.operators = &http.Server{
+		Handler:           operator.NewHandler(config.Self, node, registry),
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+	return node
+}
--- /dev/null
+++ b/transport/callstream/body.go
@@ -0,0 +1,89 @@
+package callstream
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/protocol/callwire"
+	"github.com/wasabiport/wasabiport/protocol/frame"
+	"github.com/wasabiport/wasabiport/protocol/wirepb"
+)
+
+// copyFrames reads a body in chunks and returns the number of bytes that were
+// written.
+func copyFrames(body io.Reader, write func(chunk []byte) error) (uint64, error) {
+	buffer := make([]byte, bodyChunkBytes)
+	var sent uint64
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if writeErr := write(buffer[:n]); writeErr != nil {
+				return sent, writeErr
+			}
+			sent += uint64(n)
+		}
+		if errors.Is(err, io.EOF) {
+			return sent, nil
+		}
+		if err != nil {
+			return sent, err
+		}
+	}
+}
+
+// bodyReader reads the body of a reply at the entry node.
+type bodyReader struct {
+	client   *client
+	chunk    []byte
+	received uint64
+	trailers []call.Field
+	err      error
+}
+
+// Read returns io.EOF only after the end marker with the right length.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	for len(r.chunk) == 0 && r.err == nil {
+		r.err = r.next()
+	}
+	if len(r.chunk) == 0 {
+		return 0, r.err
+	}
+	n := copy(p, r.chunk)
+	r.chunk = r.chunk[n:]
+	return n, nil
+}
+
+func (r *bodyReader) next() error {
+	var reply wirepb.ReplyFrame
+	if err := frame.Read(r.client.reader, &reply, maxFrameBytes); err != nil {
+		return errors.Mark(errors.Wrap(err, "read reply"), ErrCut)
+	}
+	switch message := reply.GetFrame().(type) {
+	case *wirepb.ReplyFrame_Body:
+		r.chunk = message.Body
+		r.received += uint64(len(message.Body))
+		return nil
+	case *wirepb.ReplyFrame_End:
+		return r.end(message.End)
+	default:
+		return errors.Mark(errors.New("unexpected frame in a reply's body"), ErrCut)
+	}
+}
+
+func (r *bodyReader) end(message *wirepb.End) error {
+	if message.GetBodyBytes() != r.received {
+		return errors.Mark(errors.Newf("reply has %d bytes, its end says %d", r.received, message.GetBodyBytes()), ErrCut)
+	}
+	r.trailers = callwire.DecodeTrailers(message)
+	return io.EOF
+}
+
+func (r *bodyReader) trailersOfEnd() []call.Field { return r.trailers }
+
+// Close ends the call. The guard cancels it when it is still running.
+func (r *bodyReader) Close() error {
+	r.client.close()
+	return nil
+}
--- /dev/null
+++ b/transport/callstream/callstream.go
@@ -0,0 +1,62 @@
+// Package callstream carries one call over one stream between the entry node
+// and the guard node.
+package callstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Sizes of what is read from a stream.
+const (
+	// maxFrameBytes bounds one frame.
+	maxFrameBytes = 1 << 20
+	// bodyChunkBytes is the size of the body frames that are written.
+	bodyChunkBytes = 32 << 10
+)
+
+// ErrCut means that a body ended before its end marker or with another length
+// than its sender announced. What was read of it must not be passed on as
+// whole.
+var ErrCut = errors.New("body was cut")
+
+// Body is the body of a request at the entry node.
+type Body struct {
+	// Prefix holds the first bytes, so that a call that was not run can be
+	// sent again.
+	Prefix []byte
+	// Rest is nil when Prefix is the whole body. It is read only after the
+	// guard has given the call its slot.
+	Rest io.Reader
+}
+
+// Reader returns the whole body. It can be called once when Rest is not nil.
+func (b Body) Reader() io.Reader {
+	if b.Rest == nil {
+		return bytes.NewReader(b.Prefix)
+	}
+	return io.MultiReader(bytes.NewReader(b.Prefix), b.Rest)
+}
+
+// Reply is the answer to a call.
+type Reply struct {
+	Head call.ReplyHead
+	// Body ends with io.EOF only when it is whole. It must be closed.
+	Body io.ReadCloser
+	// Trailers returns the trailers once Body has ended with io.EOF.
+	Trailers func() []call.Field
+}
+
+// Handler runs calls at the guard. A returned Reply is closed by the caller.
+type Handler interface {
+	// Handle runs one call. Reading from body asks the entry node for it.
+	Handle(ctx context.Context, head call.Head, body io.Reader) (*Reply, *state.Refusal)
+	// Load returns the hint that goes with a refusal.
+	Load(server state.BackendServerName) call.LoadHint
+}
--- /dev/null
+++ b/transport/callstream/server.go
@@ -0,0 +1,169 @@
+package callstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/protocol/callwire"
+	"github.com/wasabiport/wasabiport/protocol/frame"
+	"github.com/wasabiport/wasabiport/protocol/wirepb"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// headTimeout bounds the time between the opening of a stream and its head.
+const headTimeout = 5 * time.Second
+
+// Serve handles the call of one stream and closes the stream. It returns an
+// error when the stream was lost or the peer broke the protocol.
+func Serve(ctx context.Context, stream net.Conn, handler Handler) error {
+	defer closeStream(stream)
+	server := &server{stream: stream, reader: frame.NewReader(stream)}
+	head, err := server.readHead()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, head.Deadline)
+	defer cancel()
+	stopWatch := context.AfterFunc(ctx, func() { _ = stream.SetWriteDeadline(time.Now().Add(refusalGrace)) })
+	defer stopWatch()
+
+	body := server.receiveBody(cancel)
+	defer func() { _ = body.Close() }()
+	reply, refusal := handler.Handle(ctx, head, body)
+	if refusal != nil {
+		return server.sendRefusal(head, refusal, handler.Load(head.BackendServer))
+	}
+	defer func() { _ = reply.Body.Close() }()
+	return server.sendReply(reply)
+}
+
+// closeStream closes the stream and ends the thread that still reads from it.
+func closeStream(stream net.Conn) {
+	_ = stream.SetReadDeadline(time.Unix(1, 0))
+	_ = stream.Close()
+}
+
+// refusalGrace is the time to tell the entry node that the deadline passed.
+const refusalGrace = 100 * time.Millisecond
+
+type server struct {
+	stream        net.Conn
+	reader        *frame.Reader
+	awaitsProceed bool
+}
+
+func (s *server) readHead() (call.Head, error) {
+	if err := s.stream.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
+		return call.Head{}, errors.Wrap(err, "bound the time for a call's head")
+	}
+	var message wirepb.CallFrame
+	if err := frame.Read(s.reader, &message, maxFrameBytes); err != nil {
+		return call.Head{}, errors.Wrap(err, "read call head")
+	}
+	if message.GetHead() == nil {
+		return call.Head{}, errors.Mark(errors.New("call starts without a head"), frame.ErrMalformed)
+	}
+	head, err := callwire.DecodeHead(time.Now(), message.GetHead())
+	if err != nil {
+		return call.Head{}, err
+	}
+	s.awaitsProceed = message.GetHead().GetAwaitsProceed()
+	return head, s.stream.SetReadDeadline(time.Time{})
+}
+
+// receiveBody starts to read the body. After the body it waits for the end of
+// the stream, which means that the entry node has given up, and cancels.
+func (s *server) receiveBody(cancel context.CancelFunc) *requestBody {
+	reader, writer := io.Pipe()
+	go func() {
+		defer cancel()
+		if err := s.copyBody(writer); err != nil {
+			writer.CloseWithError(err)
+			return
+		}
+		_ = writer.Close()
+		// Nothing follows the end marker but the end of the stream.
+		_, _ = s.reader.ReadByte()
+	}()
+	return &requestBody{server: s, reader: reader}
+}
+
+func (s *server) copyBody(writer *io.PipeWriter) error {
+	var received uint64
+	for {
+		var message wirepb.CallFrame
+		if err := frame.Read(s.reader, &message, maxFrameBytes); err != nil {
+			return errors.Mark(errors.Wrap(err, "read request body"), ErrCut)
+		}
+		switch part := message.GetFrame().(type) {
+		case *wirepb.CallFrame_Body:
+			received += uint64(len(part.Body))
+			if _, err := writer.Write(part.Body); err != nil {
+				return err
+			}
+		case *wirepb.CallFrame_End:
+			if part.End.GetBodyBytes() != received {
+				return errors.Mark(errors.New("request body has another length than its end says"), ErrCut)
+			}
+			return nil
+		default:
+			return errors.Mark(errors.New("unexpected frame in a request body"), ErrCut)
+		}
+	}
+}
+
+// requestBody asks the entry node for the body when it is first read.
+type requestBody struct {
+	server *server
+	reader *io.PipeReader
+	asked  bool
+}
+
+func (b *requestBody) Read(p []byte) (int, error) {
+	if !b.asked {
+		b.asked = true
+		if err := b.server.sendProceed(); err != nil {
+			return 0, err
+		}
+	}
+	return b.reader.Read(p)
+}
+
+func (b *requestBody) Close() error { return b.reader.Close() }
+
+func (s *server) sendProceed() error {
+	if !s.awaitsProceed {
+		return nil
+	}
+	return s.send(&wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_Proceed{Proceed: &wirepb.Proceed{}}})
+}
+
+func (s *server) sendRefusal(head call.Head, refusal *state.Refusal, load call.LoadHint) error {
+	message := callwire.EncodeRefusal(head.ID, refusal, load)
+	return s.send(&wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_Refusal{Refusal: message}})
+}
+
+func (s *server) sendReply(reply *Reply) error {
+	head := callwire.EncodeReplyHead(reply.Head)
+	if err := s.send(&wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_Head{Head: head}}); err != nil {
+		return err
+	}
+	sent, err := copyFrames(reply.Body, func(chunk []byte) error {
+		return s.send(&wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_Body{Body: chunk}})
+	})
+	if err != nil {
+		// Without an end marker the entry node knows that the body was cut.
+		return errors.Wrap(err, "send reply body")
+	}
+	end := callwire.EncodeEnd(sent, reply.Trailers())
+	return s.send(&wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_End{End: end}})
+}
+
+func (s *server) send(message *wirepb.ReplyFrame) error {
+	return frame.Write(s.stream, message)
+}
--- /dev/null
+++ b/transport/operator/operator.go
@@ -0,0 +1,81 @@
+// Package operator serves operators over HTTP: health, readiness, metrics and
+// how far the node has come. It listens apart from callers.
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/urfave/negroni/v3"
+
+	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Node is what the listener tells of a node.
+type Node interface {
+	// Ready returns nil when the node serves callers.
+	Ready() error
+	// Head returns how far the node has come.
+	Head() control.Head
+}
+
+// NodeStatus is the answer of /v1/node.
+type NodeStatus struct {
+	Host     state.HostName         `json:"host"`
+	Zone     state.AvailabilityZone `json:"zone"`
+	Judged   state.TicketNumber     `json:"judged"`
+	Accepted state.TicketNumber     `json:"accepted"`
+	Digest   string                 `json:"digest"`
+	Ready    bool                   `json:"ready"`
+	NotReady string                 `json:"not_ready,omitempty"`
+}
+
+// NewHandler returns the handler of the operators' listener.
+func NewHandler(self state.Host, node Node, registry *prometheus.Registry) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := node.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET /v1/node", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, nodeStatus(self, node))
+	})
+	middleware := negroni.New(negroni.NewRecovery())
+	middleware.UseHandler(mux)
+	return middleware
+}
+
+func nodeStatus(self state.Host, node Node) NodeStatus {
+	head := node.Head()
+	status := NodeStatus{
+		Host:     self.Name,
+		Zone:     self.Zone,
+		Judged:   head.Judged,
+		Accepted: head.Accepted,
+		Digest:   head.Digest.String(),
+		Ready:    true,
+	}
+	if err := node.Ready(); err != nil {
+		status.Ready = false
+		status.NotReady = err.Error()
+	}
+	return status
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	// An error means that the operator is gone.
+	_ = encoder.Encode(value)
+}
--- /dev/null
+++ b/wire.go
@@ -0,0 +1,41 @@
+//go:build wireinject
+
+package wasabiport
+
+import (
+	"github.com/google/wire"
+
+	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/picking"
+	"github.com/wasabiport/wasabiport/transport/callstream"
+	"github.com/wasabiport/wasabiport/transport/controlloop"
+	"github.com/wasabiport/wasabiport/transport/entry"
+	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/peering"
+	"github.com/wasabiport/wasabiport/transport/platform"
+)
+
+var providers = wire.NewSet(
+	newIncarnation,
+	newSnapshotStore,
+	newRegistry,
+	newPlane,
+	newPicker,
+	newSource,
+	newGuard,
+	newPool,
+	newEntry,
+	newNode,
+	controlloop.New,
+	wire.Bind(new(controlloop.Source), new(*platform.Client)),
+	wire.Bind(new(picking.HostPhases), new(*control.Plane)),
+	wire.Bind(new(entry.Hosts), new(*control.Plane)),
+	wire.Bind(new(entry.Dialer), new(*peering.Pool)),
+	wire.Bind(new(callstream.Handler), new(*guard.Guard)),
+)
+
+// assemble connects the parts of a node.
+func assemble(config Config) (*Node, error) {
+	wire.Build(providers)
+	return nil, nil
+}
