--- /dev/null
+++ b/transport/events/guard.go
@@ -0,0 +1,26 @@
+package events
+
+import "github.com/wasabiport/wasabiport/state"
+
+// BackendServerCrashed is logged when a backend server is lost while it runs
+// calls.
+type BackendServerCrashed struct {
+	BackendServer state.BackendServerName `event:"backend_server"`
+	Suspects      int                     `event:"suspects"`
+}
+
+// Kind returns the description of the event.
+func (BackendServerCrashed) Kind() Kind {
+	return Kind{501, LevelError, "backend-server-crashed", "The backend server broke off while it ran the suspects, of which one may be the cause."}
+}
+
+// RequestQuarantined is logged when requests of one kind are refused from now
+// on, because they crash backend servers.
+type RequestQuarantined struct {
+	Fingerprint state.Fingerprint `event:"fingerprint"`
+}
+
+// Kind returns the description of the event.
+func (RequestQuarantined) Kind() Kind {
+	return Kind{502, LevelError, "request-quarantined", "Requests with this fingerprint have crashed backend servers and are refused from now on."}
+}
--- /dev/null
+++ b/transport/events/node.go
@@ -0,0 +1,64 @@
+package events
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// NodeStarted is logged when a node listens on all of its addresses.
+type NodeStarted struct {
+	Host      state.HostName         `event:"host"`
+	Zone      state.AvailabilityZone `event:"zone"`
+	Peers     string                 `event:"peers"`
+	Callers   string                 `event:"callers"`
+	Operators string                 `event:"operators"`
+	Version   string                 `event:"version"`
+}
+
+// Kind returns the description of the event.
+func (NodeStarted) Kind() Kind {
+	return Kind{101, LevelInfo, "node-started", "The node listens on the addresses that are given."}
+}
+
+// NodeReady is logged when a node begins to serve callers.
+type NodeReady struct {
+	Ticket state.TicketNumber `event:"ticket"`
+	After  time.Duration      `event:"after"`
+}
+
+// Kind returns the description of the event.
+func (NodeReady) Kind() Kind {
+	return Kind{102, LevelInfo, "node-ready", "The node knows a configuration and serves callers."}
+}
+
+// NodeLeaving is logged when a graceful shutdown begins.
+type NodeLeaving struct {
+	Grace time.Duration `event:"grace"`
+}
+
+// Kind returns the description of the event.
+func (NodeLeaving) Kind() Kind {
+	return Kind{103, LevelInfo, "node-leaving", "The node takes no new calls and finishes those that run, for at most the grace period."}
+}
+
+// NodeStopped is logged when a graceful shutdown has ended.
+type NodeStopped struct {
+	// Error is empty when no call was cut.
+	Error string `event:"error"`
+}
+
+// Kind returns the description of the event.
+func (NodeStopped) Kind() Kind {
+	return Kind{104, LevelInfo, "node-stopped", "The node has ended. The error is empty when every call was finished."}
+}
+
+// NodePaused is logged when a node finds that it has not run for a while.
+type NodePaused struct {
+	Late time.Duration `event:"late"`
+}
+
+// Kind returns the description of the event.
+func (NodePaused) Kind() Kind {
+	return Kind{105, LevelError, "node-paused", "A timer fired late: the process was stopped or starved. The node checks what it believes before it goes on."}
+}
--- /dev/null
+++ b/transport/events/peer.go
@@ -0,0 +1,60 @@
+package events
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// PeerConnected is logged when a session with a peer is open.
+type PeerConnected struct {
+	Peer state.HostName `event:"peer"`
+}
+
+// Kind returns the description of the event.
+func (PeerConnected) Kind() Kind {
+	return Kind{401, LevelDebug, "peer-connected", "A session with the peer is open."}
+}
+
+// PeerDisconnected is logged when the session with a peer has ended.
+type PeerDisconnected struct {
+	Peer state.HostName `event:"peer"`
+}
+
+// Kind returns the description of the event.
+func (PeerDisconnected) Kind() Kind {
+	return Kind{402, LevelDebug, "peer-disconnected", "The session with the peer has ended; it is dialled again while the peer is wanted."}
+}
+
+// PeerRefused is logged when a handshake is refused, by this node or by the
+// peer.
+type PeerRefused struct {
+	Peer       state.HostName `event:"peer"`
+	Reason     string         `event:"reason"`
+	RetryAfter time.Duration  `event:"retry_after"`
+}
+
+// Kind returns the description of the event.
+func (PeerRefused) Kind() Kind {
+	return Kind{403, LevelInfo, "peer-refused", "A handshake was refused. During a reconnect storm this is the limiter at work."}
+}
+
+// KeysReloaded is logged when changed key files are in use.
+type KeysReloaded struct {
+	NotAfter time.Time `event:"not_after"`
+}
+
+// Kind returns the description of the event.
+func (KeysReloaded) Kind() Kind {
+	return Kind{601, LevelInfo, "keys-reloaded", "New sessions use the changed certificate, which is valid until the given time."}
+}
+
+// KeysRejected is logged when changed key files can't be used.
+type KeysRejected struct {
+	Error error `event:"error"`
+}
+
+// Kind returns the description of the event.
+func (KeysRejected) Kind() Kind {
+	return Kind{602, LevelError, "keys-rejected", "The changed key files can't be used. The node goes on with the earlier ones."}
+}
