Show operators the configuration in force

Cause: an operator could see how far a node has come, but not what it has. Change: GET /v1/configuration answers with the configuration as a baseline ticket, which can be compared between nodes and filed again.

--- a/node.go
+++ b/node.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/guard"
@@ -29,6 +30,7 @@
 // Node is one node of the fleet.
 type Node struct {
 	config    Config
+	snapshots *state.SnapshotStore
 	plane     *control.Plane
 	guard     *guard.Guard
 	loop      *controlloop.Loop
@@ -100,6 +102,9 @@
 // Head returns how far the node has come.
 func (n *Node) Head() control.Head { return n.plane.Head() }
 
+// Snapshot returns the configuration in force.
+func (n *Node) Snapshot() *state.Snapshot { return n.snapshots.Load() }
+
 // Leave ends the node gracefully: it takes no new calls, finishes those that
 // run, and then closes everything. When ctx ends first it cuts what is left
 // and returns the context's error.
--- a/providers.go
+++ b/providers.go
@@ -100,6 +100,7 @@
 
 func newNode(
 	config Config,
+	snapshots *state.SnapshotStore,
 	plane *control.Plane,
 	guard *guard.Guard,
 	loop *controlloop.Loop,
@@ -108,12 +109,13 @@
 	registry *prometheus.Registry,
 ) *Node {
 	node := &Node{
-		config:  config,
-		plane:   plane,
-		guard:   guard,
-		loop:    loop,
-		pool:    pool,
-		callers: &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
+		config:    config,
+		snapshots: snapshots,
+		plane:     plane,
+		guard:     guard,
+		loop:      loop,
+		pool:      pool,
+		callers:   &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
 	}
 	node.operators = &http.Server{
 		Handler:           operator.NewHandler(config.Self, node, registry),
--- a/transport/operator/operator.go
+++ b/transport/operator/operator.go
@@ -20,6 +20,8 @@
 	Ready() error
 	// Head returns how far the node has come.
 	Head() control.Head
+	// Snapshot returns the configuration in force.
+	Snapshot() *state.Snapshot
 }
 
 // NodeStatus is the answer of /v1/node.
@@ -50,6 +52,9 @@
 	mux.HandleFunc("GET /v1/node", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, nodeStatus(self, node))
 	})
+	mux.HandleFunc("GET /v1/configuration", func(w http.ResponseWriter, _ *http.Request) {
+		serveConfiguration(w, node.Snapshot())
+	})
 	middleware := negroni.New(negroni.NewRecovery())
 	middleware.UseHandler(mux)
 	return middleware
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -22,8 +22,8 @@
 
 // assemble connects the parts of a node.
 func assemble(config Config) (*Node, error) {
-	wasabiportIncarnation := newIncarnation()
 	snapshotStore := newSnapshotStore()
+	wasabiportIncarnation := newIncarnation()
 	plane := newPlane(config, wasabiportIncarnation, snapshotStore)
 	guard := newGuard(config, snapshotStore)
 	client := newSource(config)
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	node := newNode(config, plane, guard, loop, pool, handler, registry)
+	node := newNode(config, snapshotStore, plane, guard, loop, pool, handler, registry)
 	return node, nil
 }
 
