--- /dev/null
+++ b/cmd/wasabiport/nodestatus.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wasabiport/wasabiport/transport/operator"
+)
+
+func newNodeStatusCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "status",
+		Short: "Ask a node how far it has come",
+		Example: `  wasabiport node status
+  wasabiport node status --operator http://10.1.0.11:9090 --output json`,
+		Args: usageArgs(cobra.NoArgs),
+	}
+	baseURL := operatorFlag(command)
+	output := outputFlag(command)
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		if err := checkOutput(*output); err != nil {
+			return err
+		}
+		var status operator.NodeStatus
+		if err := askNode(command.Context(), *baseURL, "/v1/node", &status); err != nil {
+			return err
+		}
+		if *output == outputJSON {
+			return writeJSON(command.OutOrStdout(), status)
+		}
+		return writeNodeStatus(command.OutOrStdout(), status)
+	}
+	return command
+}
+
+func writeNodeStatus(w io.Writer, status operator.NodeStatus) error {
+	ready := "yes"
+	if !status.Ready {
+		ready = "no: " + status.NotReady
+	}
+	return writeTable(w, [][]string{
+		{"HOST", string(status.Host)},
+		{"ZONE", string(status.Zone)},
+		{"READY", ready},
+		{"LATEST TICKET JUDGED", fmt.Sprint(status.Judged)},
+		{"LATEST TICKET IN FORCE", fmt.Sprint(status.Accepted)},
+		{"DIGEST", status.Digest},
+	})
+}
--- /dev/null
+++ b/cmd/wasabiport/settings/node.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport"
+	"github.com/wasabiport/wasabiport/transport/events"
+)
+
+// defaultLeaveTimeout is longer than the timeout of the slowest route that a
+// ticket is expected to have.
+const defaultLeaveTimeout = 60 * time.Second
+
+// Node holds the settings of "wasabiport node". The tags name the flag, the
+// rule for its value and its text in help and docs/OPERATORS.md. The
+// environment variable of a flag is WASABIPORT_ and its name in upper case
+// with underscores.
+type Node struct {
+	Host            string        `flag:"host" rule:"name" usage:"name of this host, as in the platform's host list"`
+	Zone            string        `flag:"zone" rule:"name" usage:"availability zone of this host"`
+	Region          string        `flag:"region" rule:"name" usage:"region of the availability zone"`
+	PeerAddress     string        `flag:"peer-address" rule:"ipport" usage:"IP address and port for other nodes, as in the platform's host list"`
+	CallerAddress   string        `flag:"caller-address" rule:"listen" usage:"IP address and port for callers"`
+	OperatorAddress string        `flag:"operator-address" rule:"listen" usage:"IP address and port for operators: metrics, health and status"`
+	PlatformURL     string        `flag:"platform-url" rule:"url" usage:"base URL of the platform's configuration service"`
+	LeaveTimeout    time.Duration `flag:"leave-timeout" rule:"positive" usage:"longest time for calls to finish after SIGTERM; a longer one lets slow calls end, a shorter one frees the host sooner"`
+
+	OfferInterval       time.Duration `flag:"offer-interval" rule:"positive" usage:"mean time between two exchanges of digests with a random peer; shorter repairs lost messages sooner and costs control bytes"`
+	SourceRetryInterval time.Duration `flag:"source-retry-interval" rule:"positive" usage:"time after which a platform that failed is read again; shorter sees it come back sooner and costs reads"`
+	HandshakeTimeout    time.Duration `flag:"handshake-timeout" rule:"positive" usage:"longest time to open a session to another node"`
+	RedialInterval      time.Duration `flag:"redial-interval" rule:"positive" usage:"time between two tries to reach another node"`
+
+	LogFormat events.Format `flag:"log-format" rule:"format" usage:"form of log lines: text or json"`
+	LogLevel  events.Level  `flag:"log-level" rule:"level" usage:"least important level that is logged: error, info or debug"`
+}
+
+// DefaultNode returns the default settings. Fields without a default are
+// empty.
+func DefaultNode() Node {
+	library := wasabiport.DefaultConfig()
+	return Node{
+		CallerAddress:       "0.0.0.0:8080",
+		OperatorAddress:     "127.0.0.1:9090",
+		LeaveTimeout:        defaultLeaveTimeout,
+		OfferInterval:       library.OfferInterval,
+		SourceRetryInterval: library.SourceRetryInterval,
+		HandshakeTimeout:    library.HandshakeTimeout,
+		RedialInterval:      library.RedialInterval,
+		LogFormat:           events.FormatText,
+		LogLevel:            events.LevelInfo,
+	}
+}
--- /dev/null
+++ b/cmd/wasabiport/settings/setting.go
@@ -0,0 +1,155 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/spf13/pflag"
+	"github.com/spf13/viper"
+
+	"github.com/wasabiport/wasabiport/transport/events"
+)
+
+// EnvironmentPrefix starts the names of all environment variables.
+const EnvironmentPrefix = "WASABIPORT"
+
+// Setting describes one field of a settings struct.
+type Setting struct {
+	Flag string
+	// Default is the default as text; empty when the setting is required.
+	Default string
+	Usage   string
+	rule    string
+	field   int
+}
+
+// Variable returns the name of the setting's environment variable.
+func (s Setting) Variable() string {
+	return EnvironmentPrefix + "_" + strings.ToUpper(strings.ReplaceAll(s.Flag, "-", "_"))
+}
+
+// Required reports whether the setting has no default.
+func (s Setting) Required() bool { return s.Default == "" && !strings.HasPrefix(s.rule, "optional") }
+
+// InvalidError is a setting with a wrong value.
+type InvalidError struct {
+	Setting Setting
+	Value   string
+	Reason  string
+}
+
+// Error names the flag and the variable in one line.
+func (e *InvalidError) Error() string {
+	if e.Value == "" {
+		return fmt.Sprintf("--%s (or %s) %s", e.Setting.Flag, e.Setting.Variable(), e.Reason)
+	}
+	return fmt.Sprintf("--%s (or %s) %s, but is %q", e.Setting.Flag, e.Setting.Variable(), e.Reason, e.Value)
+}
+
+// Describe returns the settings of a struct such as Node, in its order.
+func Describe(defaults any) []Setting {
+	value := reflect.ValueOf(defaults)
+	var all []Setting
+	for i := range value.NumField() {
+		tag := value.Type().Field(i).Tag
+		all = append(all, Setting{
+			Flag:    tag.Get("flag"),
+			Default: fmt.Sprint(value.Field(i).Interface()),
+			Usage:   tag.Get("usage"),
+			rule:    tag.Get("rule"),
+			field:   i,
+		})
+	}
+	return all
+}
+
+// Register adds the flags of a settings struct. All are read as text, so that
+// a wrong value gives the same error from a flag and from a variable.
+func Register(flags *pflag.FlagSet, defaults any) {
+	for _, setting := range Describe(defaults) {
+		usage := fmt.Sprintf("%s [%s]", setting.Usage, setting.Variable())
+		flags.String(setting.Flag, setting.Default, usage)
+	}
+}
+
+// Load returns the settings from flags, the environment and defaults, in this
+// order of preference. It returns an *InvalidError for each wrong value, all
+// joined.
+func Load[T any](flags *pflag.FlagSet, defaults T) (T, error) {
+	source := viper.New()
+	source.SetEnvPrefix(EnvironmentPrefix)
+	source.SetEnvKeyReplacer(strings.NewReplacer("-", "_"))
+	source.AutomaticEnv()
+	if err := source.BindPFlags(flags); err != nil {
+		return defaults, fmt.Errorf("bind flags: %w", err)
+	}
+	loaded := defaults
+	fields := reflect.ValueOf(&loaded).Elem()
+	var problems []error
+	for _, setting := range Describe(defaults) {
+		text := source.GetString(setting.Flag)
+		if reason := assign(fields.Field(setting.field), setting, text); reason != "" {
+			problems = append(problems, &InvalidError{Setting: setting, Value: text, Reason: reason})
+		}
+	}
+	return loaded, errors.Join(problems...)
+}
+
+// assign parses text into a field. It returns why the text is wrong, or the
+// empty string.
+func assign(field reflect.Value, setting Setting, text string) string {
+	if text == "" {
+		if setting.Required() {
+			return "must be set"
+		}
+		if strings.HasPrefix(setting.rule, "optional") {
+			return ""
+		}
+	}
+	parsed, reason := parse(field.Interface(), text)
+	if reason == "" {
+		reason = check(setting.rule, parsed)
+	}
+	if reason == "" {
+		field.Set(reflect.ValueOf(parsed))
+	}
+	return reason
+}
+
+// parse reads text as a value of the type of like.
+func parse(like any, text string) (value any, reason string) {
+	switch like.(type) {
+	case time.Duration:
+		duration, err := time.ParseDuration(text)
+		if err != nil {
+			return nil, `must be a duration with a unit, such as "250ms"`
+		}
+		return duration, ""
+	case bool:
+		return parseBool(text)
+	case events.Level:
+		level, ok := events.ParseLevel(text)
+		if !ok {
+			return nil, "must be error, info or debug"
+		}
+		return level, ""
+	case events.Format:
+		return events.Format(text), ""
+	default:
+		return text, ""
+	}
+}
+
+func parseBool(text string) (value any, reason string) {
+	switch text {
+	case "true":
+		return true, ""
+	case "false":
+		return false, ""
+	default:
+		return nil, "must be true or false"
+	}
+}
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wasabiport/wasabiport/cmd/wasabiport/settings"
 	"github.com/wasabiport/wasabiport/transport/events"
 )
 
@@ -20,6 +21,7 @@
 		want    string
 	}{
 		{"EVENTS.md", "events", eventsTable()},
+		{"OPERATORS.md", "settings", settingsTable()},
 	}
 	for _, tc := range cases {
 		t.Run(tc.page, func(t *testing.T) { checkSection(t, tc.page, tc.section, tc.want) })
@@ -72,3 +74,15 @@
 	}
 	return table([]string{"number", "level", "name", "fields", "meaning"}, rows)
 }
+
+func settingsTable() string {
+	var rows [][]string
+	for _, setting := range settings.Describe(settings.DefaultNode()) {
+		byDefault := "required"
+		if !setting.Required() {
+			byDefault = code(setting.Default)
+		}
+		rows = append(rows, []string{code("--" + setting.Flag), code(setting.Variable()), byDefault, setting.Usage})
+	}
+	return table([]string{"flag", "variable", "default", "meaning"}, rows)
+}
