Judge the references of a ticket also when it has other faults

Cause: a route to a missing service was reported only after the faults that can be seen in the ticket alone had been mended, so operators saw the reasons for a rejection one after the other. The verdict (accepted or not) of every ticket is as before.

--- a/cmd/wasabiport/command_test.go
+++ b/cmd/wasabiport/command_test.go
@@ -57,7 +57,8 @@
 	require.Equal(t, exitFailed, status)
 	require.Contains(t, stdout, "set.routes[0].timeout")
 	require.Contains(t, stdout, `has the unknown field "colour"`)
-	require.Equal(t, 3, strings.Count(stdout, "\n"), "no fault follows from the one at its place")
+	require.Contains(t, stdout, `names service "s", which does not exist`)
+	require.Equal(t, 4, strings.Count(stdout, "\n"), "a header and three faults, none that follows from another")
 	require.Equal(t, "wasabiport: 1 of 1 tickets would be rejected\n", stderr)
 }
 
--- a/coordination/acceptance/acceptance.go
+++ b/coordination/acceptance/acceptance.go
@@ -11,16 +11,18 @@
 // latest ticket that before has judged, unless ticket is a baseline. The
 // verdict on a baseline does not depend on before.
 func Judge(before *state.Snapshot, ticket state.Ticket) (*state.Snapshot, state.Verdict) {
-	verdict := state.Verdict{Number: ticket.Number, Faults: CheckTicket(ticket)}
-	if !verdict.Accepted() {
-		return before.WithJudged(ticket.Number), verdict
-	}
 	base := before
 	if ticket.Baseline {
 		base = state.EmptySnapshot()
 	}
+	faults := &faultList{}
+	checkTicket(faults, ticket)
+	if resourceCount(ticket) > MaxResources {
+		return before.WithJudged(ticket.Number), state.Verdict{Number: ticket.Number, Faults: faults.list()}
+	}
 	after := apply(base, ticket)
-	verdict.Faults = checkChange(base, after, ticket)
+	checkChange(faults, base, after, ticket)
+	verdict := state.Verdict{Number: ticket.Number, Faults: faults.list()}
 	if !verdict.Accepted() {
 		return before.WithJudged(ticket.Number), verdict
 	}
--- a/coordination/acceptance/acceptance_test.go
+++ b/coordination/acceptance/acceptance_test.go
@@ -49,6 +49,14 @@
 		paths  []string
 	}{
 		{"malformed", state.Ticket{Malformed: []state.Fault{{Path: "set", Reason: "not an object"}}}, []string{"set"}},
+		{
+			"malformed and missing service",
+			state.Ticket{
+				Malformed: []state.Fault{{Path: "set", Reason: "has an unknown field"}},
+				Set:       state.Resources{Routes: []state.Route{route("b", "none")}},
+			},
+			[]string{"set", "set.routes[0].service"},
+		},
 		{
 			"missing service",
 			state.Ticket{Set: state.Resources{Routes: []state.Route{route("a", "permits"), route("b", "none")}}},
--- a/coordination/acceptance/change.go
+++ b/coordination/acceptance/change.go
@@ -7,18 +7,18 @@
 	"github.com/wasabiport/wasabiport/state"
 )
 
-// checkChange returns the faults of the step from before to after. The
-// resources of before are consistent, so only those that the ticket touches
-// can have become wrong.
-func checkChange(before, after *state.Snapshot, ticket state.Ticket) []state.Fault {
-	faults := &faultList{}
-	checkRemovals(faults, before, ticket.Remove)
+// checkChange finds the faults of the step from before to after. The resources
+// of before are consistent, so only those that the ticket touches can have
+// become wrong.
+func checkChange(faults *faultList, before, after *state.Snapshot, ticket state.Ticket) {
+	if !ticket.Baseline {
+		checkRemovals(faults, before, ticket.Remove)
+	}
 	checkSetRoutes(faults, after, ticket.Set.Routes)
 	checkSetBackendServers(faults, after, ticket.Set.BackendServers)
 	checkRemovedServices(faults, after, ticket.Remove.Services)
 	checkEmptiedServices(faults, before, after, ticket)
 	checkConflicts(faults, after, ticket.Set.Routes)
-	return faults.list()
 }
 
 func checkRemovals(faults *faultList, before *state.Snapshot, remove state.Removals) {
--- a/coordination/acceptance/ticket.go
+++ b/coordination/acceptance/ticket.go
@@ -14,13 +14,18 @@
 // CheckTicket returns the faults that can be seen in the ticket alone.
 func CheckTicket(ticket state.Ticket) []state.Fault {
 	faults := &faultList{}
+	checkTicket(faults, ticket)
+	return faults.list()
+}
+
+func checkTicket(faults *faultList, ticket state.Ticket) {
 	faults.addAll(ticket.Malformed)
 	if ticket.Number == 0 {
 		faults.add("number", "ticket numbers start at 1")
 	}
 	if count := resourceCount(ticket); count > MaxResources {
 		faults.add("ticket", "touches %d resources; the limit is %d", count, MaxResources)
-		return faults.list()
+		return
 	}
 	checkBaseline(faults, ticket)
 	checkSet(faults, ticket.Set)
@@ -28,7 +33,6 @@
 	checkNames(faults, "service", "services", serviceNames(ticket.Set.Services), ticket.Remove.Services)
 	checkNames(faults, "backend server", "backend_servers",
 		backendServerNames(ticket.Set.BackendServers), ticket.Remove.BackendServers)
-	return faults.list()
 }
 
 func resourceCount(ticket state.Ticket) int {
