--- a/state/host.go
+++ b/state/host.go
@@ -49,3 +49,18 @@
 	Version uint64
 	Hosts   []Host
 }
+
+// Digest returns a hash of the hosts that does not depend on their order.
+func (l HostList) Digest() Digest {
+	var sum uint64
+	for _, host := range l.Hosts {
+		buffer := newResourceBuffer('h')
+		buffer.text(string(host.Name))
+		buffer.text(string(host.Zone))
+		buffer.text(string(host.Region))
+		buffer.text(host.PeerAddress)
+		buffer.integer(int64(host.Phase))
+		sum += buffer.sum()
+	}
+	return Digest(sum)
+}
