--- /dev/null
+++ b/coordination/control/event.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Event is something that operators should be able to see in the log.
+type Event interface {
+	event()
+}
+
+// TicketGap says that tickets are held which can't be judged, because the ones
+// between are missing.
+type TicketGap struct {
+	// Judged is the latest ticket that was judged.
+	Judged state.TicketNumber
+	// Next is the first ticket that waits.
+	Next state.TicketNumber
+}
+
+// DigestDiverged says that a peer has another configuration after the same
+// tickets.
+type DigestDiverged struct {
+	Peer state.HostName
+	Head Head
+	Own  Head
+}
+
+// SnapshotTaken says that a peer's whole configuration was put in force.
+type SnapshotTaken struct {
+	Peer state.HostName
+	Head Head
+}
+
+// SnapshotRefused says that a peer's configuration was not consistent or did
+// not have its digest.
+type SnapshotRefused struct {
+	Peer   state.HostName
+	Faults []state.Fault
+}
+
+// HostPhaseChanged says that a host is seen in another phase.
+type HostPhaseChanged struct {
+	Host  state.HostName
+	Phase state.HostPhase
+}
+
+// ParentReplaced says that a parent was silent or out of reach.
+type ParentReplaced struct {
+	Parent state.HostName
+}
+
+// Resumed says that the process did not run for a while.
+type Resumed struct {
+	Late time.Duration
+}
+
+// SourceAnsweredOld says that the source answered with older values than were
+// asked for.
+type SourceAnsweredOld struct{}
+
+func (TicketGap) event()         {}
+func (DigestDiverged) event()    {}
+func (SnapshotTaken) event()     {}
+func (SnapshotRefused) event()   {}
+func (HostPhaseChanged) event()  {}
+func (ParentReplaced) event()    {}
+func (Resumed) event()           {}
+func (SourceAnsweredOld) event() {}
--- /dev/null
+++ b/coordination/control/hosts.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/dissemination"
+	"github.com/wasabiport/wasabiport/coordination/membership"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// maxPushedHosts is the number of changed hosts up to which changes of the
+// host list are pushed unasked.
+const maxPushedHosts = 64
+
+// takeMerged tells others the news and the sender what it has wrong.
+func (p *Plane) takeMerged(output *Output, from state.HostName, merged membership.Merged) {
+	if len(merged.Corrections) > 0 && from != "" {
+		output.send(from, Sightings{Sightings: merged.Corrections})
+	}
+	p.spreadNews(output, merged.News, from)
+}
+
+func (p *Plane) spreadNews(output *Output, news []Sighting, except state.HostName) {
+	if len(news) == 0 {
+		return
+	}
+	for _, sighting := range news {
+		output.report(HostPhaseChanged{Host: sighting.Host, Phase: sighting.Phase})
+	}
+	p.spread(output, Sightings{Sightings: news}, except)
+}
+
+// HostListAnswered takes the answer to a read of the host list. It is called
+// for every answer, whether the list is newer or not.
+func (p *Plane) HostListAnswered(now time.Time, list state.HostList) Output {
+	output := p.noticePause(now)
+	answer := classifyHostList(list.Version, p.members.List().Version)
+	p.takeHostList(now, &output, "", list)
+	p.hostLists.Answered(now, answer)
+	return output
+}
+
+// HostListFailed tells that a read of the host list failed.
+func (p *Plane) HostListFailed(now time.Time) Output {
+	p.hostLists.Failed(now)
+	return Output{}
+}
+
+// NextHostListRead returns when and how to read the host list next.
+func (p *Plane) NextHostListRead(now time.Time) HostListRead {
+	next := p.hostLists.Next(now)
+	return HostListRead{At: next.At, After: p.members.List().Version, Watch: next.Watch}
+}
+
+func (p *Plane) takeHostList(now time.Time, output *Output, from state.HostName, list state.HostList) {
+	p.inquiries.hostListAnswered()
+	changes, newer := p.members.ApplyList(now, list)
+	if !newer {
+		return
+	}
+	p.redraw(now)
+	p.spreadChanges(now, output, from, changes)
+}
+
+func (p *Plane) takeHostListChanges(now time.Time, output *Output, from state.HostName, changes membership.Changes) {
+	own := p.members.List()
+	if changes.Version <= own.Version {
+		return
+	}
+	list, ok := membership.Apply(own, changes)
+	if !ok {
+		if p.inquiries.mayAskHostList(now) {
+			output.send(from, HostListRequest{Have: own.Version})
+		}
+		return
+	}
+	if _, newer := p.members.ApplyList(now, list); newer {
+		p.redraw(now)
+		p.spreadChanges(now, output, from, changes)
+	}
+}
+
+func (p *Plane) spreadChanges(now time.Time, output *Output, from state.HostName, changes membership.Changes) {
+	if len(changes.Set)+len(changes.Remove) > maxPushedHosts {
+		p.spread(output, p.offer(now), from)
+		return
+	}
+	p.spread(output, HostListChanges{Changes: changes}, from)
+}
+
+func (p *Plane) answerHostListRequest(output *Output, from state.HostName, have uint64) {
+	if list := p.members.List(); list.Version > have {
+		output.send(from, HostList{List: list})
+	}
+}
+
+// redraw draws the trees again from the hosts that take part.
+func (p *Plane) redraw(now time.Time) {
+	generation := p.members.Generation()
+	hosts := p.members.TreeHosts(now)
+	topology := dissemination.Draw(p.config.Self, hosts)
+	p.links.Redraw(now, topology)
+	leaving := p.members.Self().Phase != state.HostLive
+	known := len(p.members.List().Hosts)
+	p.tickets.SetRole(now, topology.Reader && !leaving && known > 0, known)
+	p.hostLists.SetRole(now, topology.Reader && !leaving && known > 0, known)
+	p.schedule.redrawn(now, generation)
+}
--- a/coordination/control/message.go
+++ b/coordination/control/message.go
@@ -1,6 +1,12 @@
 package control
 
-import "github.com/wasabiport/wasabiport/state"
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/fleetstatus"
+	"github.com/wasabiport/wasabiport/coordination/membership"
+	"github.com/wasabiport/wasabiport/state"
+)
 
 // Message is what two nodes tell each other outside of calls.
 type Message interface {
@@ -8,16 +14,30 @@
 }
 
 // Head says how far a node has come.
-type Head struct {
-	Judged   state.TicketNumber
-	Accepted state.TicketNumber
-	Digest   state.Digest
-}
+type Head = state.Head
+
+// Sighting is what a node says about a host.
+type Sighting = membership.Sighting
+
+// NeverConfirmed is the age of a state that the source has not confirmed.
+const NeverConfirmed time.Duration = -1
 
-// Offer tells a peer how far the sender has come. The peer answers with what
-// the sender lacks, or asks for what it lacks itself.
+// Offer tells a peer how far the sender has come. It is also the sender's
+// heartbeat. A peer that lacks something asks for it.
 type Offer struct {
 	Head Head
+	// Incarnation, Heartbeat and Phase are what the sender says of itself.
+	Incarnation uint64
+	Heartbeat   uint64
+	Phase       state.HostPhase
+	// HostListVersion is the version of the sender's host list.
+	HostListVersion uint64
+	// TicketsAge and HostListAge are the times since the source confirmed
+	// the sender's tickets and host list, or NeverConfirmed.
+	TicketsAge  time.Duration
+	HostListAge time.Duration
+	// Reply asks the peer for its own offer.
+	Reply bool
 }
 
 // Tickets carries tickets in the order of their numbers.
@@ -34,17 +54,8 @@
 // Snapshot carries a whole configuration.
 type Snapshot struct {
 	Snapshot *state.Snapshot
-}
-
-// Sighting is what a node says about a host.
-type Sighting struct {
-	Host state.HostName
-	// Incarnation is the start time of the host's node in nanoseconds since
-	// 1970. A restarted node has a larger one.
-	Incarnation uint64
-	// Heartbeat counts the node's own announcements in this incarnation.
-	Heartbeat uint64
-	Phase     state.HostPhase
+	// Digest is the digest that the sender has for it.
+	Digest state.Digest
 }
 
 // Sightings carries news of hosts.
@@ -52,8 +63,40 @@
 	Sightings []Sighting
 }
 
-func (Offer) message()     {}
-func (Tickets) message()   {}
-func (Request) message()   {}
-func (Snapshot) message()  {}
-func (Sightings) message() {}
+// HostList carries the platform's host list.
+type HostList struct {
+	List state.HostList
+}
+
+// HostListRequest asks for the host list when it is newer than a version.
+type HostListRequest struct {
+	Have uint64
+}
+
+// HostListChanges carries the difference between two versions of the host
+// list.
+type HostListChanges struct {
+	Changes membership.Changes
+}
+
+// SubtreeStatus tells a parent how far the hosts of the sender's subtree have
+// come.
+type SubtreeStatus struct {
+	Counts []fleetstatus.HeadCount
+}
+
+// FleetStatus tells how far each availability zone has come.
+type FleetStatus struct {
+	Zones []fleetstatus.ZoneReport
+}
+
+func (Offer) message()           {}
+func (Tickets) message()         {}
+func (Request) message()         {}
+func (Snapshot) message()        {}
+func (Sightings) message()       {}
+func (HostList) message()        {}
+func (HostListRequest) message() {}
+func (HostListChanges) message() {}
+func (SubtreeStatus) message()   {}
+func (FleetStatus) message()     {}
--- /dev/null
+++ b/coordination/control/offer.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// offer returns this node's next announcement.
+func (p *Plane) offer(now time.Time) Offer {
+	self := p.members.Beat()
+	return Offer{
+		Head:            p.Head(),
+		Incarnation:     self.Incarnation,
+		Heartbeat:       self.Heartbeat,
+		Phase:           self.Phase,
+		HostListVersion: p.members.List().Version,
+		TicketsAge:      ageOf(now, p.tickets.ConfirmedAt()),
+		HostListAge:     ageOf(now, p.hostLists.ConfirmedAt()),
+	}
+}
+
+func ageOf(now, confirmedAt time.Time) time.Duration {
+	if confirmedAt.IsZero() {
+		return NeverConfirmed
+	}
+	return max(0, now.Sub(confirmedAt))
+}
+
+func (p *Plane) takeOffer(now time.Time, output *Output, from state.HostName, offer Offer) {
+	p.peers.offered(from, offer.Head)
+	p.takeMerged(output, from, p.members.Heard(now, Sighting{
+		Host: from, Incarnation: offer.Incarnation, Heartbeat: offer.Heartbeat, Phase: offer.Phase,
+	}))
+	p.compareHeads(now, output, from, offer)
+	p.compareHostLists(now, output, from, offer)
+	if offer.Reply {
+		output.send(from, p.offer(now))
+	}
+}
+
+// compareHeads asks for what this node lacks. Only the one behind asks, so
+// that nothing travels twice.
+func (p *Plane) compareHeads(now time.Time, output *Output, from state.HostName, offer Offer) {
+	own := p.Head()
+	if offer.Head.Judged > own.Judged {
+		p.requestTickets(now, output, from)
+		return
+	}
+	if offer.Head.Judged < own.Judged {
+		return
+	}
+	if offer.Head != own {
+		output.report(DigestDiverged{Peer: from, Head: offer.Head, Own: own})
+		return
+	}
+	if offer.TicketsAge != NeverConfirmed {
+		p.tickets.PeerConfirmed(now, now.Add(-offer.TicketsAge))
+	}
+}
+
+func (p *Plane) compareHostLists(now time.Time, output *Output, from state.HostName, offer Offer) {
+	own := p.members.List().Version
+	switch {
+	case offer.HostListVersion > own:
+		if p.inquiries.mayAskHostList(now) {
+			output.send(from, HostListRequest{Have: own})
+		}
+	case offer.HostListVersion == own && offer.HostListAge != NeverConfirmed:
+		p.hostLists.PeerConfirmed(now, now.Add(-offer.HostListAge))
+	}
+}
+
+func (p *Plane) requestTickets(now time.Time, output *Output, from state.HostName) {
+	if p.inquiries.mayAskTickets(now) {
+		output.send(from, Request{After: p.Head().Judged})
+	}
+}
--- a/coordination/control/output.go
+++ b/coordination/control/output.go
@@ -18,14 +18,33 @@
 	Sends []Send
 	// Verdicts are the tickets that were judged, in order.
 	Verdicts []state.Verdict
+	// Events are to be logged, in order.
+	Events []Event
 }
 
-// SourceRead says when to read the source next and how.
+func (o *Output) send(to state.HostName, message Message) {
+	o.Sends = append(o.Sends, Send{To: to, Message: message})
+}
+
+func (o *Output) report(event Event) { o.Events = append(o.Events, event) }
+
+// SourceRead says when to read the tickets next and how.
 type SourceRead struct {
-	// At is the time of the read.
+	// At is the time of the read. It can move earlier or later until then,
+	// so that it has to be asked for again after every call to the plane.
 	At time.Time
 	// After is the number of the latest ticket that is known.
 	After state.TicketNumber
 	// Watch asks the source to hold the read until there is something newer.
 	Watch bool
 }
+
+// HostListRead says when to read the host list next and how.
+type HostListRead struct {
+	// At is as in SourceRead.
+	At time.Time
+	// After is the version of the host list that is known.
+	After uint64
+	// Watch asks the platform to hold the read until there is a newer one.
+	Watch bool
+}
--- a/coordination/control/plane.go
+++ b/coordination/control/plane.go
@@ -1,233 +1,143 @@
 // Package control decides how the nodes of the fleet reach the state of the
 // latest accepted ticket: when to read the source, what to tell which peer,
-// and which hosts take part.
+// and which hosts take part. It joins the parts that decide each of these.
 package control
 
 import (
 	"math/rand/v2"
-	"sync"
 	"time"
 
-	"github.com/wasabiport/wasabiport/coordination/acceptance"
+	"github.com/wasabiport/wasabiport/coordination/dissemination"
+	"github.com/wasabiport/wasabiport/coordination/fleetstatus"
+	"github.com/wasabiport/wasabiport/coordination/membership"
+	"github.com/wasabiport/wasabiport/coordination/sourcereading"
 	"github.com/wasabiport/wasabiport/state"
 )
 
-// Config holds the settings of a Plane.
-type Config struct {
-	// Self is this node's host.
-	Self state.Host
-	// Incarnation is the start time of the node in nanoseconds since 1970.
-	Incarnation uint64
-	// OfferInterval is the mean time between two offers to a random peer.
-	OfferInterval time.Duration
-	// SourceRetryInterval is the time between two reads of a source that
-	// does not answer.
-	SourceRetryInterval time.Duration
-}
-
 // Plane is the control plane's part in one node. It is safe for use by many
 // threads. Its methods never block on I/O; the caller carries out the Output.
+//
+// A plane has no lock of its own. Each part keeps its state in shards under
+// their own locks and is called with no lock held.
 type Plane struct {
 	config    Config
 	snapshots *state.SnapshotStore
-	hosts     *state.ShardedMap[state.HostName, state.Host]
-
-	// mu orders the judging of tickets. Readers of the configuration use
-	// snapshots and never take it.
-	mu        sync.Mutex
-	tickets   map[state.TicketNumber]state.Ticket
-	verdicts  map[state.TicketNumber]state.Verdict
-	random    *rand.Rand
-	nextOffer time.Time
-	nextRead  SourceRead
+	log       *state.TicketLog
+	members   *membership.Table
+	peers     *peerTable
+	links     *dissemination.Links
+	tickets   *sourcereading.Plan
+	hostLists *sourcereading.Plan
+	status    *fleetstatus.Collector
+	inquiries *inquiries
+	schedule  *schedule
+	readiness *readiness
 }
 
 // NewPlane returns a plane that knows no tickets and no hosts.
 func NewPlane(config Config, snapshots *state.SnapshotStore, random *rand.Rand) *Plane {
+	config = config.withDefaults()
 	return &Plane{
 		config:    config,
 		snapshots: snapshots,
-		hosts:     state.NewShardedMap[state.HostName, state.Host](state.DefaultShardCount),
-		tickets:   make(map[state.TicketNumber]state.Ticket),
-		verdicts:  make(map[state.TicketNumber]state.Verdict),
-		random:    random,
+		log:       state.NewTicketLog(config.TicketLogBytes),
+		members:   membership.NewTable(config.membership()),
+		peers:     newPeerTable(),
+		links:     dissemination.NewLinks(config.links(), fork(random)),
+		tickets:   sourcereading.NewPlan(config.sourceReading(), fork(random)),
+		hostLists: sourcereading.NewPlan(config.sourceReading(), fork(random)),
+		status:    fleetstatus.NewCollector(statusRetention * config.StatusInterval),
+		inquiries: &inquiries{},
+		schedule:  newSchedule(config, fork(random)),
+		readiness: &readiness{},
 	}
 }
 
+// fork returns a random source of its own for a part under another lock.
+func fork(random *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+}
+
 // Receive takes a message from a peer.
 func (p *Plane) Receive(now time.Time, from state.HostName, message Message) Output {
+	output := p.noticePause(now)
+	p.peers.heard(now, from)
+	p.readiness.heardPeer(from)
 	switch message := message.(type) {
-	case Tickets:
-		return p.takeTickets(message.Tickets, from)
 	case Offer:
-		return p.answerOffer(from, message.Head)
+		p.takeOffer(now, &output, from, message)
+	case Tickets:
+		p.takeTickets(now, &output, from, message.Tickets)
 	case Request:
-		return p.answerRequest(from, message.After)
-	default:
-		return Output{}
+		p.answerRequest(&output, from, message.After)
+	case Snapshot:
+		p.takeSnapshot(now, &output, from, message)
+	case Sightings:
+		p.takeMerged(&output, from, p.members.Merge(now, message.Sightings))
+	case HostList:
+		p.takeHostList(now, &output, from, message.List)
+	case HostListRequest:
+		p.answerHostListRequest(&output, from, message.Have)
+	case HostListChanges:
+		p.takeHostListChanges(now, &output, from, message.Changes)
+	case SubtreeStatus:
+		p.takeSubtreeStatus(now, from, message)
+	case FleetStatus:
+		p.takeFleetStatus(now, message)
 	}
+	return output
 }
 
 // Connected tells that messages to a peer can be sent from now on.
 func (p *Plane) Connected(now time.Time, host state.HostName) Output {
-	return Output{Sends: []Send{{To: host, Message: Offer{Head: p.Head()}}}}
+	p.peers.connected(now, host)
+	var output Output
+	output.send(host, p.offer(now))
+	return output
 }
 
 // Disconnected tells that messages to a peer can't be sent any more.
-func (p *Plane) Disconnected(now time.Time, host state.HostName) Output {
+func (p *Plane) Disconnected(_ time.Time, host state.HostName) Output {
+	p.peers.disconnected(host)
 	return Output{}
 }
 
-// SourceAnswered takes tickets that were read from the source.
-func (p *Plane) SourceAnswered(now time.Time, tickets []state.Ticket) Output {
-	output := p.takeTickets(tickets, "")
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.nextRead.At = now
+// Leave announces that this node takes no more work. It is final.
+func (p *Plane) Leave(now time.Time) Output {
+	var output Output
+	p.spread(&output, Sightings{Sightings: []Sighting{p.members.Leave()}}, "")
+	p.redraw(now)
 	return output
 }
 
-// SourceFailed tells that a read of the source failed.
-func (p *Plane) SourceFailed(now time.Time) Output {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.nextRead.At = now.Add(p.config.SourceRetryInterval)
-	return Output{}
-}
-
-// HostListAnswered takes the platform's host list.
-func (p *Plane) HostListAnswered(now time.Time, list state.HostList) Output {
-	for _, host := range list.Hosts {
-		p.hosts.Set(host.Name, host)
-	}
-	return Output{}
-}
-
-// NextSourceRead returns when and how to read the source next.
-func (p *Plane) NextSourceRead(now time.Time) SourceRead {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	read := p.nextRead
-	read.After = p.snapshots.Load().Judged()
-	read.Watch = true
-	return read
-}
-
-// Tick does what is due. The caller calls it again at the returned time.
-func (p *Plane) Tick(now time.Time) (Output, time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now.Before(p.nextOffer) {
-		return Output{}, p.nextOffer
-	}
-	p.nextOffer = now.Add(p.config.OfferInterval)
-	peers := p.peers()
-	if len(peers) == 0 {
-		return Output{}, p.nextOffer
-	}
-	peer := peers[p.random.IntN(len(peers))]
-	return Output{Sends: []Send{{To: peer, Message: Offer{Head: p.Head()}}}}, p.nextOffer
-}
-
 // Head returns how far this node has come.
-func (p *Plane) Head() Head {
-	snapshot := p.snapshots.Load()
-	return Head{Judged: snapshot.Judged(), Accepted: snapshot.Accepted(), Digest: snapshot.Digest()}
-}
+func (p *Plane) Head() Head { return p.snapshots.Load().Head() }
 
 // Host returns what is known of a host.
-func (p *Plane) Host(name state.HostName) (state.Host, bool) { return p.hosts.Get(name) }
+func (p *Plane) Host(name state.HostName) (state.Host, bool) { return p.members.Host(name) }
 
 // PhaseOf returns the phase of a host. A host that is not known is gone.
-func (p *Plane) PhaseOf(name state.HostName) state.HostPhase {
-	host, ok := p.hosts.Get(name)
-	if !ok {
-		return state.HostGone
-	}
-	return host.Phase
-}
+func (p *Plane) PhaseOf(name state.HostName) state.HostPhase { return p.members.PhaseOf(name) }
 
-// WantedPeers returns the hosts to which the transport keeps a session.
+// WantedPeers returns the hosts to which the transport keeps a control
+// session. A session that the other side has opened serves as well. The
+// result changes with every call to the plane.
 func (p *Plane) WantedPeers() []state.Host {
+	now := p.schedule.latest()
 	var wanted []state.Host
-	p.hosts.Range(func(name state.HostName, host state.Host) bool {
-		if name != p.config.Self.Name {
+	for _, name := range p.links.Wanted(now, p.config.Self.Name, p.peers.sessions()) {
+		if host, ok := p.members.Host(name); ok {
 			wanted = append(wanted, host)
 		}
-		return true
-	})
-	return wanted
-}
-
-func (p *Plane) peers() []state.HostName {
-	var names []state.HostName
-	for _, host := range p.WantedPeers() {
-		names = append(names, host.Name)
-	}
-	return names
-}
-
-func (p *Plane) takeTickets(tickets []state.Ticket, from state.HostName) Output {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var fresh []state.Ticket
-	for _, ticket := range tickets {
-		if _, known := p.tickets[ticket.Number]; !known {
-			p.tickets[ticket.Number] = ticket
-			fresh = append(fresh, ticket)
-		}
-	}
-	output := Output{Verdicts: p.judgeWaiting()}
-	if len(fresh) == 0 {
-		return output
-	}
-	for _, peer := range p.peers() {
-		if peer != from {
-			output.Sends = append(output.Sends, Send{To: peer, Message: Tickets{Tickets: fresh}})
-		}
 	}
-	return output
-}
-
-func (p *Plane) judgeWaiting() []state.Verdict {
-	var verdicts []state.Verdict
-	for {
-		before := p.snapshots.Load()
-		ticket, ok := p.tickets[before.Judged()+1]
-		if !ok {
-			return verdicts
-		}
-		after, verdict := acceptance.Judge(before, ticket)
-		p.snapshots.Swap(after)
-		p.verdicts[ticket.Number] = verdict
-		verdicts = append(verdicts, verdict)
-	}
-}
-
-func (p *Plane) answerOffer(from state.HostName, head Head) Output {
-	own := p.Head()
-	if head.Judged < own.Judged {
-		return p.answerRequest(from, head.Judged)
-	}
-	if head.Judged > own.Judged {
-		return Output{Sends: []Send{{To: from, Message: Request{After: own.Judged}}}}
-	}
-	return Output{}
+	return wanted
 }
 
-func (p *Plane) answerRequest(from state.HostName, after state.TicketNumber) Output {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var missing []state.Ticket
-	for number := after + 1; ; number++ {
-		ticket, ok := p.tickets[number]
-		if !ok {
-			break
+// spread sends a message to all connected peers but one.
+func (p *Plane) spread(output *Output, message Message, except state.HostName) {
+	for _, name := range p.peers.names() {
+		if name != except {
+			output.send(name, message)
 		}
-		missing = append(missing, ticket)
-	}
-	if len(missing) == 0 {
-		return Output{}
 	}
-	return Output{Sends: []Send{{To: from, Message: Tickets{Tickets: missing}}}}
 }
--- /dev/null
+++ b/coordination/control/status.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/fleetstatus"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// statusTree is the tree along which reports are merged.
+const statusTree = 0
+
+// Status returns where a ticket stands across the fleet, as far as this node
+// has heard.
+func (p *Plane) Status(now time.Time, number state.TicketNumber) fleetstatus.TicketStatus {
+	own := p.Head()
+	question := fleetstatus.Question{Number: number, Own: own, Hosts: p.zonesOfHosts()}
+	if verdict, known := p.log.Verdict(number); known {
+		question.Outcome = fleetstatus.OutcomeRejected
+		question.Faults = verdict.Faults
+		if verdict.Accepted() {
+			question.Outcome = fleetstatus.OutcomeAccepted
+		}
+	}
+	if number != 0 && number == own.Accepted {
+		question.Outcome = fleetstatus.OutcomeAccepted
+	}
+	return p.status.Ticket(now, question)
+}
+
+// reportStatus tells the parent how far the subtree has come, and the children
+// how far the availability zones have. The root makes the report of its
+// availability zone and shares it with the other roots.
+func (p *Plane) reportStatus(now time.Time, output *Output) {
+	p.status.Forget(p.zonesOfHosts())
+	counts := p.status.Subtree(now, p.Head())
+	topology := p.links.Topology()
+	parent := p.links.Parent(statusTree)
+	switch {
+	case parent == "":
+		p.status.TakeZone(now, fleetstatus.ZoneReport{Zone: p.config.Self.Zone, Counts: counts})
+	case p.peers.isConnected(parent):
+		output.send(parent, SubtreeStatus{Counts: counts})
+	}
+	zones := p.status.Zones(now)
+	if len(zones) == 0 {
+		return
+	}
+	for _, name := range slices.Concat(topology.Roots, topology.Children) {
+		if p.peers.isConnected(name) {
+			output.send(name, FleetStatus{Zones: zones})
+		}
+	}
+}
+
+func (p *Plane) takeSubtreeStatus(now time.Time, from state.HostName, message SubtreeStatus) {
+	if p.status.TakeSubtree(now, from, message.Counts) {
+		p.schedule.hastenStatus(now)
+	}
+}
+
+func (p *Plane) takeFleetStatus(now time.Time, message FleetStatus) {
+	changed := false
+	for _, report := range message.Zones {
+		if p.status.TakeZone(now, report) {
+			changed = true
+		}
+	}
+	if changed {
+		p.schedule.hastenStatus(now)
+	}
+}
--- /dev/null
+++ b/coordination/dissemination/links.go
@@ -0,0 +1,248 @@
+package dissemination
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/backoff"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Session is what a node knows of its session with a peer.
+type Session struct {
+	// Connected says that messages can be sent.
+	Connected bool
+	// HeardAt is when the last message came.
+	HeardAt time.Time
+}
+
+// Config holds the settings of Links.
+type Config struct {
+	// SilenceTimeout is how long a parent may be silent or out of reach
+	// before another one takes its place.
+	SilenceTimeout time.Duration
+	// HoldDown bounds how long a parent that was silent is not chosen
+	// again. Longer times keep the trees steadier.
+	HoldDown backoff.Policy
+	// PassiveGrace is how long a node waits for a session that the other
+	// side has to open before it opens one itself.
+	PassiveGrace time.Duration
+	// RepairInterval is the mean time between two choices of a random peer
+	// for repair.
+	RepairInterval time.Duration
+	// IsolatedInterval is the same while there is no session at all.
+	IsolatedInterval time.Duration
+}
+
+// isolatedPeerCount is the number of random peers that a node without any
+// session tries at the same time.
+const isolatedPeerCount = 3
+
+// Links chooses the peers to which a node keeps sessions: its parents, the
+// roots it is joined to, children that did not come by themselves, and a
+// random peer for repair. Its state has one lock, which is never held while
+// another shard is called.
+type Links struct {
+	config Config
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	topology *Topology
+	parents  [TreeCount]state.HostName
+	// chosenAt is when a parent was chosen or a passive link was drawn.
+	chosenAt  map[state.HostName]time.Time
+	avoided   map[state.HostName]avoidance
+	repair    []state.HostName
+	repairDue time.Time
+}
+
+// avoidance is a parent that was silent.
+type avoidance struct {
+	times int
+	until time.Time
+}
+
+// NewLinks returns links without any peer.
+func NewLinks(config Config, random *rand.Rand) *Links {
+	return &Links{
+		config:   config,
+		random:   random,
+		topology: &Topology{},
+		chosenAt: make(map[state.HostName]time.Time),
+		avoided:  make(map[state.HostName]avoidance),
+	}
+}
+
+// Topology returns the place in the trees that was drawn last.
+func (l *Links) Topology() *Topology {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.topology
+}
+
+// Parent returns the parent in a tree, or "" at a root.
+func (l *Links) Parent(tree int) state.HostName {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.parents[tree]
+}
+
+// Redraw takes a new place in the trees.
+func (l *Links) Redraw(now time.Time, topology *Topology) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.topology = topology
+	l.chooseParents(now)
+	l.forgetUndrawn(now)
+}
+
+// forgetUndrawn drops the times of links that are not drawn any more and
+// starts those of new ones.
+func (l *Links) forgetUndrawn(now time.Time) {
+	drawn := make(map[state.HostName]time.Time)
+	for _, name := range l.drawn() {
+		at, known := l.chosenAt[name]
+		if !known {
+			at = now
+		}
+		drawn[name] = at
+	}
+	l.chosenAt = drawn
+}
+
+func (l *Links) drawn() []state.HostName {
+	return slices.Concat(l.parents[:], l.topology.Roots, l.topology.Children)
+}
+
+// chooseParents takes in each tree the best candidate that is not avoided and
+// not the parent in an earlier tree. When all are avoided, the first one is
+// tried again.
+func (l *Links) chooseParents(now time.Time) {
+	for tree, candidates := range l.topology.Parents {
+		parent := l.bestParent(now, tree, candidates)
+		if parent != l.parents[tree] {
+			l.parents[tree] = parent
+			l.chosenAt[parent] = now
+		}
+	}
+}
+
+func (l *Links) bestParent(now time.Time, tree int, candidates []state.HostName) state.HostName {
+	for _, name := range candidates {
+		if now.Before(l.avoided[name].until) || slices.Contains(l.parents[:tree], name) {
+			continue
+		}
+		return name
+	}
+	if len(candidates) > 0 {
+		return candidates[0]
+	}
+	return ""
+}
+
+// Resumed gives every link a new period of grace after a pause of this
+// process.
+func (l *Links) Resumed(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name := range l.chosenAt {
+		l.chosenAt[name] = now
+	}
+}
+
+// Check replaces parents that are silent or out of reach and returns them.
+func (l *Links) Check(now time.Time, sessions map[state.HostName]Session) []state.HostName {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var replaced []state.HostName
+	for _, parent := range l.parents {
+		if parent == "" || !l.isSilent(now, parent, sessions[parent]) {
+			continue
+		}
+		l.avoid(now, parent)
+		replaced = append(replaced, parent)
+	}
+	l.chooseParents(now)
+	l.forgetUndrawn(now)
+	return replaced
+}
+
+func (l *Links) isSilent(now time.Time, name state.HostName, session Session) bool {
+	since := l.chosenAt[name]
+	if session.Connected && session.HeardAt.After(since) {
+		since = session.HeardAt
+	}
+	return now.Sub(since) > l.config.SilenceTimeout
+}
+
+func (l *Links) avoid(now time.Time, name state.HostName) {
+	old := l.avoided[name]
+	if now.Sub(old.until) > l.config.HoldDown.Max {
+		old.times = 0
+	}
+	next := avoidance{times: old.times + 1}
+	next.until = now.Add(l.config.HoldDown.Bound(next.times))
+	l.avoided[name] = next
+	l.chosenAt[name] = now
+	for other, avoidance := range l.avoided {
+		if now.Sub(avoidance.until) > l.config.HoldDown.Max {
+			delete(l.avoided, other)
+		}
+	}
+}
+
+// Repair draws new random peers when that is due, and returns whether it did.
+func (l *Links) Repair(now time.Time, hosts []state.Host, isolated bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	interval, count := l.config.RepairInterval, 1
+	if isolated {
+		interval, count = l.config.IsolatedInterval, isolatedPeerCount
+	}
+	latest := now.Add(interval + interval/2)
+	if now.Before(l.repairDue) && l.repairDue.Before(latest) {
+		return false
+	}
+	l.repairDue = now.Add(interval/2 + time.Duration(l.random.Int64N(int64(interval)+1)))
+	l.repair = l.repair[:0:0]
+	for range min(count, len(hosts)) {
+		l.repair = append(l.repair, hosts[l.random.IntN(len(hosts))].Name)
+	}
+	return true
+}
+
+// RepairDue returns when the next random peer is drawn.
+func (l *Links) RepairDue() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.repairDue
+}
+
+// Wanted returns the hosts to which this node keeps a session, without
+// duplicates.
+func (l *Links) Wanted(now time.Time, self state.HostName, sessions map[state.HostName]Session) []state.HostName {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wanted := slices.Concat(l.parents[:], l.repair)
+	for _, name := range l.topology.Roots {
+		if self < name || l.isOverdue(now, name, sessions[name]) {
+			wanted = append(wanted, name)
+		}
+	}
+	for _, name := range l.topology.Children {
+		if l.isOverdue(now, name, sessions[name]) {
+			wanted = append(wanted, name)
+		}
+	}
+	slices.Sort(wanted)
+	wanted = slices.Compact(wanted)
+	return slices.DeleteFunc(wanted, func(name state.HostName) bool { return name == "" || name == self })
+}
+
+// isOverdue reports whether the other side has not opened the session in
+// time.
+func (l *Links) isOverdue(now time.Time, name state.HostName, session Session) bool {
+	return !session.Connected && now.Sub(l.chosenAt[name]) >= l.config.PassiveGrace
+}
--- /dev/null
+++ b/coordination/dissemination/topology.go
@@ -0,0 +1,236 @@
+// Package dissemination decides along which sessions news travels: redundant
+// shallow push trees in each availability zone, joined at their roots across
+// availability zones and regions.
+//
+// The trees are drawn by rendezvous hash from the hosts that a node knows. Two
+// nodes with the same hosts draw the same trees, and a host that goes or comes
+// moves only its own children and the hosts at the borders of levels.
+package dissemination
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+const (
+	// TreeCount is the number of trees in each availability zone. A node
+	// misses a push only when its parents in all of them fail at once.
+	TreeCount = 2
+	// Fanout is the mean number of children of an inner node. A larger one
+	// makes trees shallower and their inner nodes busier.
+	Fanout = 6
+)
+
+// Topology is one node's place in the trees. It is immutable.
+type Topology struct {
+	// Parents holds for each tree the candidates for this node's parent,
+	// best first. It is empty at a root.
+	Parents [TreeCount][]state.HostName
+	// Children are the hosts whose first choice of a parent is this node.
+	Children []state.HostName
+	// Roots are the other roots that a root is joined to: the same tree's in
+	// every other availability zone and the other trees' in its own. It is
+	// empty when this node is no root.
+	Roots []state.HostName
+	// Reader says that this node holds a watch on the source.
+	Reader bool
+}
+
+// level is the hosts at one distance from a root.
+type level []state.HostName
+
+// Draw returns the place of self among hosts, which need not contain self.
+func Draw(self state.Host, hosts []state.Host) *Topology {
+	topology := &Topology{}
+	zones := namesByZone(self, hosts)
+	roots := rootsOf(zones[self.Zone])
+	var trees [TreeCount][]level
+	for tree := range TreeCount {
+		trees[tree] = levelsOf(tree, zones[self.Zone], roots)
+	}
+	topology.Roots = rootLinks(self, zones, roots)
+	topology.Reader = slices.Contains(roots, self.Name)
+	topology.Parents = parentsOf(self.Name, trees)
+	topology.Children = childrenOf(self.Name, trees)
+	return topology
+}
+
+func namesByZone(self state.Host, hosts []state.Host) map[state.AvailabilityZone][]state.HostName {
+	zones := map[state.AvailabilityZone][]state.HostName{self.Zone: {self.Name}}
+	for _, host := range hosts {
+		if host.Name != self.Name {
+			zones[host.Zone] = append(zones[host.Zone], host.Name)
+		}
+	}
+	return zones
+}
+
+// rootsOf returns the root of each tree of an availability zone. A host is
+// the root of one tree only, unless there are fewer hosts than trees.
+func rootsOf(zone []state.HostName) []state.HostName {
+	var roots []state.HostName
+	for tree := range TreeCount {
+		if root, ok := rootOf(tree, zone, roots); ok {
+			roots = append(roots, root)
+		}
+	}
+	return roots
+}
+
+func rootOf(tree int, zone, taken []state.HostName) (state.HostName, bool) {
+	var best state.HostName
+	var bestRank uint64
+	for _, name := range zone {
+		candidate := rank(tree, name)
+		if (best == "" || candidate < bestRank) && !slices.Contains(taken, name) {
+			best, bestRank = name, candidate
+		}
+	}
+	return best, best != ""
+}
+
+// levelsOf orders the hosts of an availability zone by rank and cuts them into
+// levels of 1, Fanout, Fanout squared and so on.
+func levelsOf(tree int, zone, roots []state.HostName) []level {
+	if tree >= len(roots) {
+		return nil
+	}
+	rest := make([]state.HostName, 0, len(zone))
+	for _, name := range zone {
+		if name != roots[tree] {
+			rest = append(rest, name)
+		}
+	}
+	sortByRank(tree, rest)
+	levels := []level{{roots[tree]}}
+	for size := Fanout; len(rest) > 0; size *= Fanout {
+		size = min(size, len(rest))
+		levels = append(levels, rest[:size])
+		rest = rest[size:]
+	}
+	return levels
+}
+
+// rootLinks returns the roots that self is joined to as a root.
+func rootLinks(self state.Host, zones map[state.AvailabilityZone][]state.HostName, own []state.HostName) []state.HostName {
+	tree := slices.Index(own, self.Name)
+	if tree < 0 {
+		return nil
+	}
+	links := slices.Delete(slices.Clone(own), tree, tree+1)
+	for zone, names := range zones {
+		if zone == self.Zone {
+			continue
+		}
+		roots := rootsOf(names)
+		links = append(links, roots[min(tree, len(roots)-1)])
+	}
+	slices.Sort(links)
+	return links
+}
+
+// parentsOf returns the parent candidates of name in each tree: the hosts of
+// the level above in rendezvous order, then the hosts of its own level that
+// rank before it, so that a node whose root is silent still finds a parent.
+// The first choices differ between the trees where possible.
+func parentsOf(name state.HostName, trees [TreeCount][]level) [TreeCount][]state.HostName {
+	var parents [TreeCount][]state.HostName
+	for tree, levels := range trees {
+		depth := depthOf(name, levels)
+		if depth < 1 {
+			continue
+		}
+		above := slices.Clone(levels[depth-1])
+		sortByRendezvous(tree, name, above)
+		position := slices.Index(levels[depth], name)
+		beside := slices.Clone(levels[depth][:position])
+		sortByRendezvous(tree, name, beside)
+		parents[tree] = append([]state.HostName(above), beside...)
+		avoidSameParent(parents[:tree], parents[tree])
+	}
+	return parents
+}
+
+// avoidSameParent puts the second candidate first when the first one is
+// already the parent in an earlier tree.
+func avoidSameParent(earlier [][]state.HostName, candidates []state.HostName) {
+	if len(candidates) < 2 {
+		return
+	}
+	for _, parents := range earlier {
+		if len(parents) > 0 && parents[0] == candidates[0] {
+			candidates[0], candidates[1] = candidates[1], candidates[0]
+			return
+		}
+	}
+}
+
+func depthOf(name state.HostName, levels []level) int {
+	return slices.IndexFunc(levels, func(l level) bool { return slices.Contains(l, name) })
+}
+
+// childrenOf returns the hosts that choose name as their parent first.
+func childrenOf(name state.HostName, trees [TreeCount][]level) []state.HostName {
+	var children []state.HostName
+	for tree, levels := range trees {
+		depth := depthOf(name, levels)
+		if depth < 0 || depth+1 >= len(levels) {
+			continue
+		}
+		for _, candidate := range levels[depth+1] {
+			if !mayChoose(tree, candidate, name, levels[depth]) || slices.Contains(children, candidate) {
+				continue
+			}
+			if parentsOf(candidate, trees)[tree][0] == name {
+				children = append(children, candidate)
+			}
+		}
+	}
+	return children
+}
+
+// mayChoose reports whether parent is among the two best candidates of child,
+// without sorting them all.
+func mayChoose(tree int, child, parent state.HostName, above level) bool {
+	own := affinity(tree, child, parent)
+	better := 0
+	for _, other := range above {
+		if other != parent && affinity(tree, child, other) < own {
+			better++
+		}
+		if better > 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// rank orders hosts for their place in a tree.
+func rank(tree int, name state.HostName) uint64 { return affinity(tree, "", name) }
+
+// affinity is the rendezvous hash of a child and a possible parent. The
+// smallest wins.
+func affinity(tree int, child, parent state.HostName) uint64 {
+	buffer := make([]byte, 0, 128)
+	buffer = append(buffer, byte(tree))
+	buffer = append(buffer, child...)
+	buffer = append(buffer, 0)
+	buffer = append(buffer, parent...)
+	return xxhash.Sum64(buffer)
+}
+
+func sortByRank(tree int, names []state.HostName) { sortByRendezvous(tree, "", names) }
+
+func sortByRendezvous(tree int, child state.HostName, names []state.HostName) {
+	scores := make(map[state.HostName]uint64, len(names))
+	for _, name := range names {
+		scores[name] = affinity(tree, child, name)
+	}
+	slices.SortFunc(names, func(a, b state.HostName) int {
+		return cmp.Or(cmp.Compare(scores[a], scores[b]), cmp.Compare(a, b))
+	})
+}
--- /dev/null
+++ b/coordination/dissemination/topology_test.go
@@ -0,0 +1,128 @@
+package dissemination_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/dissemination"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+func fleet(zones, hostsPerZone int) []state.Host {
+	var hosts []state.Host
+	for zone := range zones {
+		for host := range hostsPerZone {
+			hosts = append(hosts, state.Host{
+				Name: state.HostName(fmt.Sprintf("host-%d-%d", zone, host)),
+				Zone: state.AvailabilityZone(fmt.Sprintf("zone-%d", zone)),
+			})
+		}
+	}
+	return hosts
+}
+
+func drawAll(hosts []state.Host) map[state.HostName]*dissemination.Topology {
+	drawn := make(map[state.HostName]*dissemination.Topology)
+	for _, host := range hosts {
+		drawn[host.Name] = dissemination.Draw(host, hosts)
+	}
+	return drawn
+}
+
+// hopsFrom returns the distance of every host from start along all links but
+// those of the hosts in down.
+func hopsFrom(start state.HostName, drawn map[state.HostName]*dissemination.Topology, down ...state.HostName) map[state.HostName]int {
+	links := make(map[state.HostName][]state.HostName)
+	for name, topology := range drawn {
+		near := slices.Concat(topology.Roots, topology.Children)
+		for _, parents := range topology.Parents {
+			near = append(near, parents[:min(1, len(parents))]...)
+		}
+		for _, other := range near {
+			links[name] = append(links[name], other)
+			links[other] = append(links[other], name)
+		}
+	}
+	hops := map[state.HostName]int{start: 0}
+	for queue := []state.HostName{start}; len(queue) > 0; queue = queue[1:] {
+		for _, next := range links[queue[0]] {
+			if _, seen := hops[next]; !seen && !slices.Contains(down, next) {
+				hops[next] = hops[queue[0]] + 1
+				queue = append(queue, next)
+			}
+		}
+	}
+	return hops
+}
+
+func TestTreesReachEveryHostInFewHops(t *testing.T) {
+	tests := []struct{ zones, hostsPerZone, maxHops, maxLinks int }{
+		{1, 1, 0, 0},
+		{3, 3, 4, 10},
+		{9, 111, 9, 36},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%d hosts", test.zones*test.hostsPerZone), func(t *testing.T) {
+			hosts := fleet(test.zones, test.hostsPerZone)
+			drawn := drawAll(hosts)
+			readers := 0
+			var reader state.HostName
+			for name, topology := range drawn {
+				links := len(topology.Roots) + len(topology.Children) + dissemination.TreeCount
+				require.LessOrEqual(t, links, max(test.maxLinks, dissemination.TreeCount))
+				if topology.Reader {
+					readers++
+					reader = name
+				}
+			}
+			require.Equal(t, test.zones*min(test.hostsPerZone, 2), readers)
+			hops := hopsFrom(reader, drawn)
+			require.Len(t, hops, len(hosts))
+			for name, distance := range hops {
+				require.LessOrEqual(t, distance, test.maxHops, name)
+			}
+		})
+	}
+}
+
+func TestLossOfOneHostCutsNobodyOff(t *testing.T) {
+	hosts := fleet(3, 30)
+	drawn := drawAll(hosts)
+	for _, lost := range hosts {
+		start := hosts[0].Name
+		if lost.Name == start {
+			start = hosts[1].Name
+		}
+		require.Len(t, hopsFrom(start, drawn, lost.Name), len(hosts)-1, "without %s", lost.Name)
+	}
+}
+
+func TestLossOfOneHostMovesFewParents(t *testing.T) {
+	hosts := fleet(1, 111)
+	before := drawAll(hosts)
+	const lost = 40
+	after := drawAll(slices.Concat(hosts[:lost], hosts[lost+1:]))
+	moved := 0
+	for name, topology := range after {
+		for tree, parents := range topology.Parents {
+			if len(parents) > 0 && parents[0] != before[name].Parents[tree][0] {
+				moved++
+			}
+		}
+	}
+	require.Less(t, moved, 30, "of %d parents", 2*len(after))
+}
+
+func BenchmarkDraw(b *testing.B) {
+	for _, hostsPerZone := range []int{111, 1111} {
+		hosts := fleet(9, hostsPerZone)
+		b.Run(fmt.Sprintf("%d hosts", len(hosts)), func(b *testing.B) {
+			for b.Loop() {
+				dissemination.Draw(hosts[0], hosts)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/coordination/fleetstatus/collector.go
@@ -0,0 +1,108 @@
+package fleetstatus
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Collector holds the reports of a node's children and of all availability
+// zones, each in shards under their own locks. Its memory is bounded by the
+// number of children and of availability zones.
+type Collector struct {
+	// retention is how long a report counts after it was heard.
+	retention time.Duration
+	children  *state.ShardedMap[state.HostName, timedCounts]
+	zones     *state.ShardedMap[state.AvailabilityZone, timedCounts]
+}
+
+// timedCounts are counts with the time to which their ages relate.
+type timedCounts struct {
+	counts []HeadCount
+	at     time.Time
+}
+
+// aged returns the counts with their ages at now.
+func (c timedCounts) aged(now time.Time) []HeadCount {
+	aged := slices.Clone(c.counts)
+	for i := range aged {
+		aged[i].Age += now.Sub(c.at)
+	}
+	return aged
+}
+
+// NewCollector returns a collector that counts reports for retention after
+// they were heard.
+func NewCollector(retention time.Duration) *Collector {
+	return &Collector{
+		retention: retention,
+		children:  state.NewShardedMap[state.HostName, timedCounts](state.DefaultShardCount),
+		zones:     state.NewShardedMap[state.AvailabilityZone, timedCounts](state.DefaultShardCount),
+	}
+}
+
+// TakeSubtree takes the report of a child and returns whether the counts
+// changed.
+func (c *Collector) TakeSubtree(now time.Time, child state.HostName, counts []HeadCount) bool {
+	next := timedCounts{counts: mergeCounts(counts), at: now}
+	changed := false
+	c.children.Update(child, func(old timedCounts, _ bool) (timedCounts, bool) {
+		changed = !sameHosts(old.counts, next.counts)
+		return next, true
+	})
+	return changed
+}
+
+// Subtree returns the counts of this node and of its children's subtrees.
+func (c *Collector) Subtree(now time.Time, own state.Head) []HeadCount {
+	c.children.RemoveIf(func(_ state.HostName, report timedCounts) bool {
+		return now.Sub(report.at) > c.retention
+	})
+	counts := []HeadCount{{Head: own, Hosts: 1}}
+	c.children.Range(func(_ state.HostName, report timedCounts) bool {
+		counts = append(counts, report.aged(now)...)
+		return true
+	})
+	return mergeCounts(counts)
+}
+
+// TakeZone takes the report of an availability zone unless a younger one is
+// known. It returns whether the counts changed.
+func (c *Collector) TakeZone(now time.Time, report ZoneReport) bool {
+	at := now.Add(-report.Age)
+	changed := false
+	c.zones.Update(report.Zone, func(old timedCounts, present bool) (timedCounts, bool) {
+		if present && !at.After(old.at) {
+			return old, true
+		}
+		changed = !sameHosts(old.counts, report.Counts)
+		return timedCounts{counts: mergeCounts(report.Counts), at: at}, true
+	})
+	return changed
+}
+
+// sameHosts compares counts without their ages.
+func sameHosts(a, b []HeadCount) bool {
+	return slices.EqualFunc(a, b, func(x, y HeadCount) bool { return x.Head == y.Head && x.Hosts == y.Hosts })
+}
+
+// Zones returns the latest report of every availability zone, ordered by name.
+func (c *Collector) Zones(now time.Time) []ZoneReport {
+	var reports []ZoneReport
+	c.zones.Range(func(zone state.AvailabilityZone, report timedCounts) bool {
+		reports = append(reports, ZoneReport{Zone: zone, Counts: report.counts, Age: now.Sub(report.at)})
+		return true
+	})
+	slices.SortFunc(reports, func(a, b ZoneReport) int { return cmp.Compare(a.Zone, b.Zone) })
+	return reports
+}
+
+// Forget drops the reports of availability zones without hosts.
+func (c *Collector) Forget(present map[state.AvailabilityZone]int) {
+	c.zones.RemoveIf(func(zone state.AvailabilityZone, _ timedCounts) bool {
+		_, ok := present[zone]
+		return !ok
+	})
+}
--- /dev/null
+++ b/coordination/membership/sighting.go
@@ -0,0 +1,55 @@
+// Package membership decides which hosts take part in the fleet. It starts
+// from the platform's host list, which lags, and corrects it by what nodes see
+// of each other.
+package membership
+
+import "github.com/wasabiport/wasabiport/state"
+
+// Sighting is what a node says about a host.
+type Sighting struct {
+	Host state.HostName
+	// Incarnation is the start time of the host's node in nanoseconds since
+	// 1970. A restarted node has a larger one.
+	Incarnation uint64
+	// Heartbeat counts the node's own announcements in this incarnation.
+	Heartbeat uint64
+	Phase     state.HostPhase
+}
+
+// supersedes reports whether s is newer than old. A leave is final in its
+// incarnation; apart from that the larger heartbeat wins, and at the same
+// heartbeat the worse phase does.
+func (s Sighting) supersedes(old Sighting) bool {
+	if s.Incarnation != old.Incarnation {
+		return s.Incarnation > old.Incarnation
+	}
+	if old.Phase == state.HostLeaving {
+		return s.Phase == state.HostGone
+	}
+	if s.Phase == state.HostLeaving && old.Phase != state.HostGone {
+		return true
+	}
+	if s.Heartbeat != old.Heartbeat {
+		return s.Heartbeat > old.Heartbeat
+	}
+	return severity(s.Phase) > severity(old.Phase)
+}
+
+func severity(phase state.HostPhase) int {
+	switch phase {
+	case state.HostLive:
+		return 0
+	case state.HostSuspect:
+		return 1
+	case state.HostLeaving:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// isNewsAfter reports whether other nodes have to hear of the change from old
+// to s. A larger heartbeat alone is no news.
+func (s Sighting) isNewsAfter(old Sighting) bool {
+	return s.Phase != old.Phase || s.Incarnation != old.Incarnation
+}
--- /dev/null
+++ b/protocol/peerwire/hosts.go
@@ -0,0 +1,107 @@
+package peerwire
+
+import (
+	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/membership"
+	"github.com/wasabiport/wasabiport/protocol/wirepb"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+func encodeSightings(sightings control.Sightings) *wirepb.Sightings {
+	message := &wirepb.Sightings{}
+	for _, sighting := range sightings.Sightings {
+		message.Sightings = append(message.Sightings, &wirepb.Sighting{
+			Host:        string(sighting.Host),
+			Incarnation: sighting.Incarnation,
+			Heartbeat:   sighting.Heartbeat,
+			Phase:       uint32(sighting.Phase),
+		})
+	}
+	return message
+}
+
+func decodeSightings(message *wirepb.Sightings) (control.Message, error) {
+	var sightings control.Sightings
+	for _, sighting := range message.GetSightings() {
+		phase, err := decodePhase(sighting.GetPhase())
+		if err != nil {
+			return nil, err
+		}
+		sightings.Sightings = append(sightings.Sightings, control.Sighting{
+			Host:        state.HostName(sighting.GetHost()),
+			Incarnation: sighting.GetIncarnation(),
+			Heartbeat:   sighting.GetHeartbeat(),
+			Phase:       phase,
+		})
+	}
+	return sightings, nil
+}
+
+func encodeHostList(list control.HostList) *wirepb.HostList {
+	return &wirepb.HostList{Version: list.List.Version, Hosts: encodeHosts(list.List.Hosts)}
+}
+
+func decodeHostList(message *wirepb.HostList) (control.Message, error) {
+	hosts, err := decodeHosts(message.GetHosts())
+	if err != nil {
+		return nil, err
+	}
+	return control.HostList{List: state.HostList{Version: message.GetVersion(), Hosts: hosts}}, nil
+}
+
+func encodeHostListChanges(message control.HostListChanges) *wirepb.HostListChanges {
+	changes := message.Changes
+	return &wirepb.HostListChanges{
+		Base:    changes.Base,
+		Version: changes.Version,
+		Digest:  uint64(changes.Digest),
+		Set:     encodeHosts(changes.Set),
+		Remove:  toStrings(changes.Remove),
+	}
+}
+
+func decodeHostListChanges(message *wirepb.HostListChanges) (control.Message, error) {
+	set, err := decodeHosts(message.GetSet())
+	if err != nil {
+		return nil, err
+	}
+	return control.HostListChanges{Changes: membership.Changes{
+		Base:    message.GetBase(),
+		Version: message.GetVersion(),
+		Digest:  state.Digest(message.GetDigest()),
+		Set:     set,
+		Remove:  fromStrings[state.HostName](message.GetRemove()),
+	}}, nil
+}
+
+func encodeHosts(hosts []state.Host) []*wirepb.Host {
+	encoded := make([]*wirepb.Host, 0, len(hosts))
+	for _, host := range hosts {
+		encoded = append(encoded, &wirepb.Host{
+			Name:        string(host.Name),
+			Zone:        string(host.Zone),
+			Region:      string(host.Region),
+			PeerAddress: host.PeerAddress,
+			Phase:       uint32(host.Phase),
+		})
+	}
+	return encoded
+}
+
+func decodeHosts(messages []*wirepb.Host) ([]state.Host, error) {
+	var hosts []state.Host
+	for _, message := range messages {
+		phase, err := decodePhase(message.GetPhase())
+		if err != nil {
+			return nil, err
+		}
+		hosts = append(hosts, state.Host{
+			Name:        state.HostName(message.GetName()),
+			Zone:        state.AvailabilityZone(message.GetZone()),
+			Region:      state.Region(message.GetRegion()),
+			PeerAddress: message.GetPeerAddress(),
+			Phase:       phase,
+		})
+	}
+	return hosts, nil
+}
--- /dev/null
+++ b/protocol/peerwire/snapshot.go
@@ -0,0 +1,53 @@
+package peerwire
+
+import (
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/protocol/wirepb"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Encoder encodes messages and keeps the form of the latest snapshot, so that
+// a herd of joiners costs one encoding. The zero value is ready for use. It is
+// safe for use by many threads.
+type Encoder struct {
+	mu       sync.Mutex
+	snapshot *state.Snapshot
+	encoded  *wirepb.Snapshot
+}
+
+func (e *Encoder) encodeSnapshot(message control.Snapshot) (*wirepb.Snapshot, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.snapshot == message.Snapshot && e.encoded != nil {
+		return e.encoded, nil
+	}
+	resources, err := proto.Marshal(encodeResources(message.Snapshot.Resources()))
+	if err != nil {
+		return nil, errors.Wrap(err, "encode snapshot")
+	}
+	head := message.Snapshot.Head()
+	head.Digest = message.Digest
+	e.snapshot = message.Snapshot
+	e.encoded = &wirepb.Snapshot{Head: encodeHead(head), Resources: resources}
+	return e.encoded, nil
+}
+
+func decodeSnapshot(message *wirepb.Snapshot) (control.Message, error) {
+	var encoded wirepb.Resources
+	if err := proto.Unmarshal(message.GetResources(), &encoded); err != nil {
+		return nil, malformed("snapshot: %v", err)
+	}
+	resources, err := decodeResources(&encoded)
+	if err != nil {
+		return nil, err
+	}
+	head := decodeHead(message.GetHead())
+	builder := state.NewSnapshotBuilder(nil)
+	builder.Set(resources)
+	return control.Snapshot{Snapshot: builder.Build(head.Judged, head.Accepted), Digest: head.Digest}, nil
+}
--- /dev/null
+++ b/protocol/peerwire/status.go
@@ -0,0 +1,66 @@
+package peerwire
+
+import (
+	"math"
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/fleetstatus"
+	"github.com/wasabiport/wasabiport/protocol/wirepb"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+func encodeHeadCounts(counts []fleetstatus.HeadCount) []*wirepb.HeadCount {
+	encoded := make([]*wirepb.HeadCount, 0, len(counts))
+	for _, count := range counts {
+		encoded = append(encoded, &wirepb.HeadCount{
+			Head:      encodeHead(count.Head),
+			Hosts:     uint32(count.Hosts),
+			AgeMillis: encodeMillis(count.Age),
+		})
+	}
+	return encoded
+}
+
+func decodeHeadCounts(messages []*wirepb.HeadCount) []fleetstatus.HeadCount {
+	var counts []fleetstatus.HeadCount
+	for _, message := range messages {
+		counts = append(counts, fleetstatus.HeadCount{
+			Head:  decodeHead(message.GetHead()),
+			Hosts: int(message.GetHosts()),
+			Age:   decodeMillis(message.GetAgeMillis()),
+		})
+	}
+	return counts
+}
+
+func encodeFleetStatus(status control.FleetStatus) *wirepb.FleetStatus {
+	message := &wirepb.FleetStatus{}
+	for _, report := range status.Zones {
+		message.Zones = append(message.Zones, &wirepb.ZoneReport{
+			Zone:      string(report.Zone),
+			Counts:    encodeHeadCounts(report.Counts),
+			AgeMillis: encodeMillis(report.Age),
+		})
+	}
+	return message
+}
+
+func decodeFleetStatus(message *wirepb.FleetStatus) control.Message {
+	var status control.FleetStatus
+	for _, report := range message.GetZones() {
+		status.Zones = append(status.Zones, fleetstatus.ZoneReport{
+			Zone:   state.AvailabilityZone(report.GetZone()),
+			Counts: decodeHeadCounts(report.GetCounts()),
+			Age:    decodeMillis(report.GetAgeMillis()),
+		})
+	}
+	return status
+}
+
+// encodeMillis returns a time in milliseconds, at most 49 days.
+func encodeMillis(duration time.Duration) uint32 {
+	return uint32(min(max(0, duration).Milliseconds(), math.MaxUint32))
+}
+
+func decodeMillis(millis uint32) time.Duration { return time.Duration(millis) * time.Millisecond }
--- a/protocol/peerwire/ticket.go
+++ b/protocol/peerwire/ticket.go
@@ -1,10 +1,31 @@
 package peerwire
 
 import (
+	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/protocol/wirepb"
 	"github.com/wasabiport/wasabiport/state"
 )
 
+func encodeTickets(tickets control.Tickets) *wirepb.Tickets {
+	message := &wirepb.Tickets{}
+	for _, ticket := range tickets.Tickets {
+		message.Tickets = append(message.Tickets, encodeTicket(ticket))
+	}
+	return message
+}
+
+func decodeTickets(message *wirepb.Tickets) (control.Message, error) {
+	var tickets control.Tickets
+	for _, ticket := range message.GetTickets() {
+		decoded, err := decodeTicket(ticket)
+		if err != nil {
+			return nil, err
+		}
+		tickets.Tickets = append(tickets.Tickets, decoded)
+	}
+	return tickets, nil
+}
+
 func encodeTicket(ticket state.Ticket) *wirepb.Ticket {
 	message := &wirepb.Ticket{
 		Number:   uint64(ticket.Number),
