Measure how fast tickets come into force, beside two baselines

Nothing told how far the first thin control plane is from its targets. `wasabiport bench converge` runs real nodes on loopback TCP with the stand-in platform, counts bytes at the network in both directions, and takes two simpler designs in the same run: every node watches the source, and one reader pushes the whole state along a tree.

Every node still reads the source, and bytes for a ticket grow with the fleet: each node sends each ticket to every other one. 200 nodes were not run: sessions between all of them need more descriptors than a process may open.

--- a/cmd/wasabiport/bench.go
+++ b/cmd/wasabiport/bench.go
@@ -45,11 +45,12 @@
 	}
 	output := outputFlag(command)
 	seed := command.Flags().Uint64("seed", defaultBenchSeed, "seed of the random choices")
+	nodes := command.Flags().IntSlice("nodes", nil, "fleet sizes to measure, such as 25,50 (default: those of the bench)")
 	command.RunE = func(command *cobra.Command, _ []string) error {
 		if err := checkOutput(*output); err != nil {
 			return err
 		}
-		results, err := measurement.Run(command.Context(), bench.Options{Seed: *seed})
+		results, err := measurement.Run(command.Context(), bench.Options{Seed: *seed, Nodes: *nodes})
 		if err != nil {
 			return err
 		}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -12,6 +12,15 @@
 type Options struct {
 	// Seed makes the random choices of the run repeatable.
 	Seed uint64
+	// Nodes are the fleet sizes to measure; empty takes the sizes of the bench.
+	Nodes []int
+}
+
+func (o Options) nodes(sizes ...int) []int {
+	if len(o.Nodes) > 0 {
+		return o.Nodes
+	}
+	return sizes
 }
 
 // Result is one figure.
@@ -42,7 +51,9 @@
 
 // All returns the benches in the order in which they are listed.
 func All() []Bench {
-	return []Bench{}
+	return []Bench{
+		{"converge", "time from filing a ticket until it is in force on every node, control bytes and source reads", converge},
+	}
 }
 
 // Find returns the bench with a name.
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,34 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestResultsAreHeldAgainstTheirTargets(t *testing.T) {
+	var observed latencies
+	for i := range 100 {
+		observed.add(time.Duration(i+1) * time.Millisecond)
+	}
+	met := below("p99", observed.quantile(0.99), 100, unitMilliseconds)
+	require.Equal(t, 99.0, met.Value)
+	require.True(t, *met.Met)
+	require.False(t, *below("max", observed.quantile(1), 100, unitMilliseconds).Met)
+	require.Nil(t, plain("p50", observed.quantile(0.5), unitMilliseconds).Met)
+}
+
+func TestFleetCountsBytesAndRestartsHosts(t *testing.T) {
+	f, err := startFleet(t.Context(), 1, 3, 1)
+	require.NoError(t, err)
+	defer f.stop()
+	for _, member := range f.members {
+		require.Positive(t, member.traffic.peers.Load())
+	}
+	require.Positive(t, f.bytes())
+	f.members[2].node.Shutdown()
+	require.NoError(t, f.source.file(changeTicket(2, 3, 1)))
+	require.NoError(t, f.start(t.Context(), f.members[2]))
+	require.NoError(t, f.await(t.Context(), 2))
+}
--- /dev/null
+++ b/internal/bench/fleet.go
@@ -0,0 +1,140 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiport/wasabiport"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Ports of a node. Each node has a loopback address of its own.
+const (
+	peerPort     = 7001
+	operatorPort = 7002
+	callerPort   = 7080
+)
+
+// startTimeout bounds the time until a started fleet has its first ticket.
+const startTimeout = 60 * time.Second
+
+// hostIP returns a loopback address. Two runs at the same time use different
+// networks.
+func hostIP(index int) string {
+	const firstNetwork, networkCount = 64, 128
+	return fmt.Sprintf("127.%d.%d.%d", firstNetwork+os.Getpid()%networkCount, index/250, index%250+1)
+}
+
+// member is one host of the fleet with its node.
+type member struct {
+	index   int
+	host    state.Host
+	traffic traffic
+	node    *wasabiport.Node
+}
+
+// fleet is a number of real nodes on loopback.
+type fleet struct {
+	seed     uint64
+	services int
+	source   *source
+	members  []*member
+}
+
+// startFleet starts nodes and waits until the first ticket, which carries the
+// whole configuration, is in force on all of them.
+func startFleet(ctx context.Context, seed uint64, nodes, services int) (*fleet, error) {
+	source, err := newSource(ctx)
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{seed: seed, services: services, source: source}
+	var hosts []state.Host
+	for i := range nodes {
+		host := state.Host{
+			Name:        hostName(i),
+			Zone:        zoneOf(i),
+			Region:      state.Region(fmt.Sprintf("region-%d", i%3)),
+			PeerAddress: fmt.Sprintf("%s:%d", hostIP(i), peerPort),
+		}
+		hosts = append(hosts, host)
+		f.members = append(f.members, &member{index: i, host: host})
+	}
+	source.platform.SetHosts(hosts)
+	if err := f.source.file(firstTicket(nodes, services)); err != nil {
+		f.stop()
+		return nil, err
+	}
+	for _, member := range f.members {
+		if err := f.start(ctx, member); err != nil {
+			f.stop()
+			return nil, err
+		}
+	}
+	if err := f.await(ctx, 1); err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+// start starts the node of a host.
+func (f *fleet) start(ctx context.Context, m *member) error {
+	config := wasabiport.DefaultConfig()
+	config.Self = m.host
+	config.CallerAddress = fmt.Sprintf("%s:%d", hostIP(m.index), callerPort)
+	config.OperatorAddress = fmt.Sprintf("%s:%d", hostIP(m.index), operatorPort)
+	config.PlatformURL = f.source.url
+	config.Seed = f.seed + uint64(m.index) + 1
+	config.Network = countingNetwork{bytes: &m.traffic.peers}
+	config.HTTPClient = countingClient(&m.traffic.source)
+	node, err := wasabiport.Create(ctx, config)
+	if err != nil {
+		return errors.Wrapf(err, "start %s", m.host.Name)
+	}
+	m.node = node
+	return nil
+}
+
+// await waits until a ticket is in force on all nodes.
+func (f *fleet) await(ctx context.Context, number state.TicketNumber) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, member := range f.members {
+		if err := member.node.AwaitTicket(ctx, number); err != nil {
+			return errors.Wrapf(err, "%s is at %d", member.host.Name, member.node.Head().Judged)
+		}
+	}
+	return nil
+}
+
+// bytes returns the control bytes of all nodes.
+func (f *fleet) bytes() int64 {
+	var total int64
+	for _, member := range f.members {
+		total += member.traffic.total()
+	}
+	return total
+}
+
+func (f *fleet) stop() {
+	done := make(chan struct{})
+	running := 0
+	for _, member := range f.members {
+		if member.node != nil {
+			running++
+			go func() {
+				member.node.Shutdown()
+				done <- struct{}{}
+			}()
+		}
+	}
+	for range running {
+		<-done
+	}
+	f.source.close()
+}
--- /dev/null
+++ b/internal/bench/latency.go
@@ -0,0 +1,40 @@
+package bench
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// latencies collects durations from many threads.
+type latencies struct {
+	mu     sync.Mutex
+	values []float64
+}
+
+func (l *latencies) add(duration time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.values = append(l.values, float64(duration)/float64(time.Millisecond))
+}
+
+// quantile returns the value in milliseconds that a share of all durations do
+// not exceed; 0 when there are none.
+func (l *latencies) quantile(share float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.values) == 0 {
+		return 0
+	}
+	slices.Sort(l.values)
+	return stat.Quantile(share, stat.Empirical, l.values, nil)
+}
+
+// count returns the number of durations.
+func (l *latencies) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.values)
+}
--- /dev/null
+++ b/internal/bench/source.go
@@ -0,0 +1,65 @@
+package bench
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiport/wasabiport/internal/standin"
+	"github.com/wasabiport/wasabiport/protocol/ticketfile"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+// source is the stand-in platform behind a TCP listener, with the time at
+// which each ticket was filed. It is safe for use by many threads.
+type source struct {
+	platform *standin.Platform
+	server   *http.Server
+	url      string
+
+	mu    sync.Mutex
+	filed map[state.TicketNumber]time.Time
+}
+
+func newSource(ctx context.Context) (*source, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for reads of the platform")
+	}
+	platform := standin.NewPlatform(standin.PlatformConfig{})
+	s := &source{
+		platform: platform,
+		server:   &http.Server{Handler: platform, ReadHeaderTimeout: readHeaderTimeout},
+		url:      "http://" + listener.Addr().String(),
+		filed:    make(map[state.TicketNumber]time.Time),
+	}
+	go func() { _ = s.server.Serve(listener) }()
+	return s, nil
+}
+
+func (s *source) file(ticket state.Ticket) error {
+	raw, err := ticketfile.Encode(ticket)
+	if err != nil {
+		return errors.Wrap(err, "encode a ticket")
+	}
+	s.mu.Lock()
+	s.filed[ticket.Number] = time.Now()
+	s.mu.Unlock()
+	_, err = s.platform.FileTicket(raw)
+	return errors.Wrap(err, "file a ticket")
+}
+
+func (s *source) filedAt(number state.TicketNumber) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.filed[number]
+}
+
+func (s *source) close() { _ = s.server.Close() }
--- /dev/null
+++ b/internal/bench/traffic.go
@@ -0,0 +1,84 @@
+package bench
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/wasabiport/wasabiport/transport/network"
+)
+
+// traffic counts the bytes that one node sends and receives. It is safe for
+// use by many threads.
+type traffic struct {
+	peers  atomic.Int64
+	source atomic.Int64
+}
+
+// total returns the bytes in both directions, to and from peers and source.
+func (t *traffic) total() int64 { return t.peers.Load() + t.source.Load() }
+
+// countingNetwork is TCP with the bytes of its connections counted.
+type countingNetwork struct {
+	network.TCP
+	bytes *atomic.Int64
+}
+
+// Dial opens a counted connection.
+func (n countingNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := n.TCP.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{Conn: conn, bytes: n.bytes}, nil
+}
+
+// Listen accepts counted connections.
+func (n countingNetwork) Listen(ctx context.Context, address string) (net.Listener, error) {
+	listener, err := n.TCP.Listen(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return countingListener{Listener: listener, bytes: n.bytes}, nil
+}
+
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{Conn: conn, bytes: l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// countingClient returns an HTTP client whose bytes are counted.
+func countingClient(bytes *atomic.Int64) *http.Client {
+	counted := countingNetwork{bytes: bytes}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return counted.Dial(ctx, address)
+		},
+	}}
+}
--- a/node.go
+++ b/node.go
@@ -105,6 +105,22 @@
 // Snapshot returns the configuration in force.
 func (n *Node) Snapshot() *state.Snapshot { return n.snapshots.Load() }
 
+// AwaitTicket waits until a ticket is judged, and in force if it was accepted.
+// It returns the context's error when ctx ends first.
+func (n *Node) AwaitTicket(ctx context.Context, number state.TicketNumber) error {
+	for {
+		snapshot, changed := n.snapshots.LoadChanged()
+		if snapshot.Judged() >= number {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "wait for ticket %d", number)
+		}
+	}
+}
+
 // Leave ends the node gracefully: it takes no new calls, finishes those that
 // run, and then closes everything. When ctx ends first it cuts what is left
 // and returns the context's error.
