Admit calls by class, floor, caller and deadline

The thin gate served the most urgent class only while it had work, let one caller fill a queue and answered calls that were already too late.

A class now keeps its floor as a credit of slot time, spent only when it has work. Callers of a class take turns; a full queue makes room for a caller with fewer waiting calls. A pass that can't be answered in time is refused as not run; once a class is overloaded, "in time" means the time at which the call is wanted. The limit falls when the backend server sheds or slows, ramps after a cold start, and suspects run alone. Long calls leave the floors of more urgent classes free.

--- /dev/null
+++ b/coordination/admission/flood_test.go
@@ -0,0 +1,119 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/admission"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+const (
+	slots        = 6
+	floodSeconds = 20
+	// The bounds are the targets of the flood bench.
+	minInTarget = 0.99
+	minGoodput  = 0.95
+)
+
+var (
+	epoch       = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	testServer  = state.BackendServer{Name: "desk-1", Slots: slots, Connections: 100}
+	testService = state.Service{
+		Name:        "desk",
+		Floors:      [state.ClassCount]float64{0.4, 0.2, 0.1, 0.05},
+		QueueLimits: [state.ClassCount]int{50, 50, 50, 50},
+	}
+	// ordinary is a load of 80% of capacity: 6 slots and 20 ms a call make 300
+	// calls a second.
+	ordinary = []load{
+		{class: state.ClassCritical, perSec: 60, callers: 20, service: 20 * time.Millisecond, deadline: time.Second, target: 100 * time.Millisecond},
+		{class: state.ClassHigh, perSec: 90, callers: 20, service: 20 * time.Millisecond, deadline: time.Second, target: 500 * time.Millisecond},
+		{class: state.ClassNormal, perSec: 60, callers: 20, service: 20 * time.Millisecond, deadline: 2 * time.Second, target: time.Second},
+		{class: state.ClassBackground, perSec: 30, callers: 20, service: 20 * time.Millisecond, deadline: 5 * time.Second, target: 5 * time.Second},
+	}
+)
+
+// withFlood returns the ordinary loads and a flood of one class at 5 times
+// capacity.
+func withFlood(class state.PriorityClass) []load {
+	flood := ordinary[class]
+	flood.perSec = 5 * slots / flood.service.Seconds()
+	return append([]load{flood}, ordinary...)
+}
+
+func newGate() *admission.Gate { return admission.NewGate(testServer, testService) }
+
+func TestFloodOfTheLeastUrgentClass(t *testing.T) {
+	loads := withFlood(state.ClassBackground)
+	gate := simulate(gateServer{newGate()}, 1, floodSeconds*time.Second, loads...)
+	baseline := simulate(&firstCome{slots: slots, queueLimit: 200}, 1, floodSeconds*time.Second, loads...)
+	report(t, "gate", gate)
+	report(t, "first come", baseline)
+
+	require.GreaterOrEqual(t, inTarget(gate[state.ClassCritical]), minInTarget)
+	require.GreaterOrEqual(t, inTarget(gate[state.ClassHigh]), minInTarget)
+	require.GreaterOrEqual(t, goodput(gate), minGoodput)
+	requireFloors(t, gate, loads)
+	require.Less(t, inTarget(baseline[state.ClassCritical]), minInTarget,
+		"the baseline meets the target too: the flood proves nothing")
+}
+
+func TestFloodOfTheMostUrgentClass(t *testing.T) {
+	loads := withFlood(state.ClassCritical)
+	gate := simulate(gateServer{newGate()}, 1, floodSeconds*time.Second, loads...)
+	baseline := simulate(&firstCome{slots: slots, queueLimit: 200}, 1, floodSeconds*time.Second, loads...)
+	report(t, "gate", gate)
+	report(t, "first come", baseline)
+
+	critical := gate[state.ClassCritical]
+	require.GreaterOrEqual(t, float64(critical.inTarget)/float64(critical.answered), minInTarget,
+		"urgent calls that are not refused are in time")
+	require.GreaterOrEqual(t, goodput(gate), minGoodput)
+	requireFloors(t, gate, loads)
+}
+
+func TestOrdinaryLoadIsServedWhole(t *testing.T) {
+	for class, counts := range simulate(gateServer{newGate()}, 1, floodSeconds*time.Second, ordinary...) {
+		require.GreaterOrEqual(t, inTarget(counts), minInTarget, state.PriorityClass(class))
+	}
+}
+
+// requireFloors checks that each class got its floor or all that it asked for.
+func requireFloors(t *testing.T, outcomes [state.ClassCount]outcome, loads []load) {
+	t.Helper()
+	var asked [state.ClassCount]time.Duration
+	for _, load := range loads {
+		asked[load.class] += time.Duration(load.perSec * floodSeconds * float64(load.service))
+	}
+	for class, counts := range outcomes {
+		floor := time.Duration(testService.Floors[class] * slots * floodSeconds * float64(time.Second))
+		// 2% for the randomness of the arrivals and the calls under way at the end.
+		require.GreaterOrEqual(t, counts.slotTime.Seconds(), 0.98*min(floor, asked[class]).Seconds(),
+			state.PriorityClass(class))
+	}
+}
+
+func inTarget(counts outcome) float64 { return float64(counts.inTarget) / float64(counts.offered) }
+
+// goodput is the share of the slot time in which calls ran that were answered.
+func goodput(outcomes [state.ClassCount]outcome) float64 {
+	var answered time.Duration
+	for _, counts := range outcomes {
+		whole := float64(counts.answered) / float64(counts.answered+counts.late)
+		answered += time.Duration(whole * float64(counts.slotTime))
+	}
+	return answered.Seconds() / (slots * floodSeconds)
+}
+
+func report(t *testing.T, name string, outcomes [state.ClassCount]outcome) {
+	t.Helper()
+	t.Logf("%s: goodput %.4f", name, goodput(outcomes))
+	for class, counts := range outcomes {
+		t.Logf("%s: %-10s offered %6d in target %.4f answered %6d refused %6d late %5d slot share %.4f",
+			name, state.PriorityClass(class), counts.offered, inTarget(counts), counts.answered,
+			counts.refused, counts.late, counts.slotTime.Seconds()/(slots*floodSeconds))
+	}
+}
--- /dev/null
+++ b/coordination/admission/gate.go
@@ -0,0 +1,278 @@
+package admission
+
+import (
+	"container/heap"
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Gate admits calls to one backend server. It is one shard of the guard's
+// state and has its own lock.
+type Gate struct {
+	mu      sync.Mutex
+	config  Config
+	server  state.BackendServer
+	service state.Service
+	limit   limit
+	floors  floors
+	times   [state.ClassCount]serviceTime
+
+	queues [state.ClassCount]*classQueue
+	// waiting holds the passes of all queues.
+	waiting waitingHeap
+	// solitary holds the passes that run alone, in order of arrival.
+	solitary *list.List
+	// alone is the pass that runs alone at present.
+	alone     *Pass
+	aloneLast time.Time
+
+	running  int
+	entitled [state.ClassCount]int
+	spare    [state.ClassCount]int
+	leaving  bool
+	drained  chan struct{}
+}
+
+// Result says how a call ended that had a slot.
+type Result uint8
+
+// The results.
+const (
+	// ResultAnswered means that the backend server answered.
+	ResultAnswered Result = iota
+	// ResultShed means that the backend server declined the call as it had
+	// too much work, as with status 503 or 429.
+	ResultShed
+	// ResultBroken means that the call ended early, as when its caller went
+	// away or the connection was lost. It says nothing about the load.
+	ResultBroken
+)
+
+// NewGate returns a gate with the default settings and all slots free.
+func NewGate(server state.BackendServer, service state.Service) *Gate {
+	return NewGateWithConfig(DefaultConfig(), server, service)
+}
+
+// NewGateWithConfig returns a gate with all slots free.
+func NewGateWithConfig(config Config, server state.BackendServer, service state.Service) *Gate {
+	gate := &Gate{config: config, solitary: list.New(), drained: make(chan struct{})}
+	for class := range gate.queues {
+		gate.queues[class] = newClassQueue()
+	}
+	gate.configure(server, service)
+	return gate
+}
+
+// Configure takes over changed settings. Calls that run are not affected.
+func (g *Gate) Configure(now time.Time, server state.BackendServer, service state.Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(now)
+	g.configure(server, service)
+	g.settle(now)
+}
+
+// ColdStart begins a slow start: the backend server has just come up.
+func (g *Gate) ColdStart(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(now)
+	g.limit.coldSince = now
+}
+
+// Request asks for a slot. The pass is decided at once or later; the caller
+// waits on Decided and must then call Release or, when it gives up before,
+// Abandon.
+func (g *Gate) Request(now time.Time, head call.Head) *Pass {
+	return g.request(now, newPass(head, false))
+}
+
+// RequestAlone is like Request for a call that runs while no other does.
+func (g *Gate) RequestAlone(now time.Time, head call.Head) *Pass {
+	return g.request(now, newPass(head, true))
+}
+
+// Abandon takes a pass that is not needed any more out of the queue, or gives
+// its slot back. It returns true when the pass had been granted.
+func (g *Gate) Abandon(now time.Time, pass *Pass) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(now)
+	switch pass.phase {
+	case passRunning:
+		g.release(now, pass, ResultBroken)
+		return true
+	case passWaiting:
+		g.unqueue(pass)
+		pass.refuse(state.NotRun(state.RefusedCanceled, "the caller gave up"))
+	default:
+	}
+	g.settle(now)
+	return false
+}
+
+// Release gives back the slot of a granted pass whose call was answered.
+func (g *Gate) Release(now time.Time, pass *Pass) {
+	g.ReleaseAfter(now, pass, ResultAnswered)
+}
+
+// ReleaseAfter gives back the slot of a granted pass and learns from how its
+// call ended. A second release of the same pass does nothing.
+func (g *Gate) ReleaseAfter(now time.Time, pass *Pass, result Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(now)
+	if pass.phase == passRunning {
+		g.release(now, pass, result)
+	}
+}
+
+// Advance refuses the passes for which it is too late to start and grants slots that a
+// slow start has freed. Every other method does the same first, so that
+// calling it is needed only while nothing else happens.
+func (g *Gate) Advance(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(now)
+	g.settle(now)
+}
+
+// Load returns the hint that rides on replies.
+func (g *Gate) Load() call.LoadHint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return call.LoadHint{
+		BackendServer: g.server.Name,
+		Running:       g.running,
+		Waiting:       len(g.waiting),
+		Slots:         g.usable(g.floors.updated),
+		Draining:      g.draining(),
+	}
+}
+
+// Drain refuses all waiting and new calls from now on. Calls that run finish.
+func (g *Gate) Drain(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(now)
+	g.leaving = true
+	g.settle(now)
+}
+
+// Drained returns a channel that is closed once the gate drains and no call
+// runs.
+func (g *Gate) Drained() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.drained
+}
+
+// usable returns the number of slots that may be used at now.
+func (g *Gate) usable(now time.Time) int { return g.limit.at(now, g.config.ColdShare) }
+
+func (g *Gate) draining() bool { return g.leaving || g.server.Draining }
+
+func (g *Gate) configure(server state.BackendServer, service state.Service) {
+	g.server = server
+	g.service = service
+	g.floors.share = service.Floors
+	slots := server.Slots
+	if server.Connections > 0 {
+		slots = min(slots, server.Connections)
+	}
+	g.limit.configure(slots, service.SlowStart)
+}
+
+// advance brings the credits of the classes to now, before anything changes.
+func (g *Gate) advance(now time.Time) {
+	used := usage{
+		limit:    g.usable(now),
+		entitled: g.entitled,
+		spare:    g.spare,
+	}
+	for class, queue := range g.queues {
+		used.waiting[class] = queue.size > 0
+	}
+	g.floors.update(now, used)
+}
+
+// settle brings the gate to rest after a change.
+func (g *Gate) settle(now time.Time) {
+	g.expire(now)
+	if g.draining() {
+		g.refuseWaiting()
+	}
+	g.grant(now)
+	g.signalDrained()
+}
+
+// expire refuses the passes for which it is too late to start.
+func (g *Gate) expire(now time.Time) {
+	for len(g.waiting) > 0 && g.waiting[0].tooLate(now) {
+		pass := g.waiting[0]
+		service := g.times[pass.class].nearlyAll()
+		if !g.overloaded(now, pass.class) && pass.wantsMoreTime(now, service) {
+			pass.limitWait(service, false)
+			heap.Fix(&g.waiting, pass.position)
+			continue
+		}
+		g.unqueue(pass)
+		pass.refuse(notRunTooLate())
+	}
+}
+
+// overloaded reports whether a class gets more calls than slots.
+func (g *Gate) overloaded(now time.Time, class state.PriorityClass) bool {
+	return g.queues[class].standing(now, g.config.StandingAfter)
+}
+
+func (g *Gate) refuseWaiting() {
+	for len(g.waiting) > 0 {
+		pass := g.waiting[0]
+		g.unqueue(pass)
+		pass.refuse(notRunDraining())
+	}
+}
+
+func (g *Gate) signalDrained() {
+	closed := isClosed(g.drained)
+	switch {
+	case g.draining() && g.running == 0 && !closed:
+		close(g.drained)
+	case !g.draining() && closed:
+		g.drained = make(chan struct{})
+	default:
+	}
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
+func (g *Gate) enqueue(now time.Time, pass *Pass) {
+	pass.wait()
+	if pass.alone {
+		pass.place = g.solitary.PushBack(pass)
+	} else {
+		g.queues[pass.class].push(now, pass)
+	}
+	heap.Push(&g.waiting, pass)
+}
+
+func (g *Gate) unqueue(pass *Pass) {
+	if pass.alone {
+		g.solitary.Remove(pass.place)
+	} else {
+		g.queues[pass.class].remove(pass)
+	}
+	heap.Remove(&g.waiting, pass.position)
+}
--- /dev/null
+++ b/coordination/admission/request.go
@@ -0,0 +1,103 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+func (g *Gate) request(now time.Time, pass *Pass) *Pass {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(now)
+	g.expire(now)
+	if refusal := g.refuseRequest(now, pass); refusal != nil {
+		pass.refuse(refusal)
+		return pass
+	}
+	if g.canRunNow(now, pass) {
+		g.start(now, pass, false)
+		return pass
+	}
+	g.enqueue(now, pass)
+	g.settle(now)
+	return pass
+}
+
+func (g *Gate) refuseRequest(now time.Time, pass *Pass) *state.Refusal {
+	switch {
+	case !pass.class.Valid():
+		return state.NotRun(state.RefusedBadRequest, "the priority class is not defined")
+	case g.draining():
+		return notRunDraining()
+	case pass.expired(now):
+		return state.NotRun(state.RefusedDeadline, "the deadline has passed")
+	case g.canRunNow(now, pass):
+		return nil
+	}
+	pass.limitWait(g.times[pass.class].nearlyAll(), g.overloaded(now, pass.class))
+	if !now.Add(g.estimateWait(now, pass)).Before(pass.startBy) {
+		return notRunTooLate()
+	}
+	return g.makeRoom(pass)
+}
+
+// canRunNow reports whether a new pass gets a slot without waiting.
+func (g *Gate) canRunNow(now time.Time, pass *Pass) bool {
+	if len(g.waiting) > 0 || g.alone != nil {
+		return false
+	}
+	if pass.alone {
+		return g.running == 0 && g.usable(now) > 0
+	}
+	return g.hasSlotFor(now, pass.class)
+}
+
+// estimateWait estimates how long the pass would wait if no more urgent call
+// came from now on.
+func (g *Gate) estimateWait(now time.Time, pass *Pass) time.Duration {
+	work := g.times[pass.class].mean() * time.Duration(g.queues[pass.class].ahead(pass.caller))
+	for class, queue := range g.queues[:pass.class] {
+		work += g.times[class].mean() * time.Duration(queue.size)
+	}
+	return work / time.Duration(max(1, g.usable(now)))
+}
+
+// makeRoom returns a refusal when the queue of the pass's class is full. A
+// caller with fewer waiting calls than another of the same class takes the
+// place of that one's newest call.
+func (g *Gate) makeRoom(pass *Pass) *state.Refusal {
+	queueLimit := g.service.QueueLimits[pass.class]
+	if pass.alone {
+		if g.solitary.Len() < max(1, queueLimit) {
+			return nil
+		}
+		return notRunQueueFull()
+	}
+	queue := g.queues[pass.class]
+	if queue.size < queueLimit {
+		return nil
+	}
+	if queue.size == 0 {
+		return notRunQueueFull()
+	}
+	newest := queue.last()
+	if queue.waitingOf(pass.caller)+1 >= queue.waitingOf(newest.caller) {
+		return notRunQueueFull()
+	}
+	g.unqueue(newest)
+	newest.refuse(notRunQueueFull())
+	return nil
+}
+
+func notRunDraining() *state.Refusal {
+	return state.NotRun(state.RefusedDraining, "the backend server takes no new calls")
+}
+
+func notRunTooLate() *state.Refusal {
+	return state.NotRun(state.RefusedDeadline, "the call can't be answered in time")
+}
+
+func notRunQueueFull() *state.Refusal {
+	return state.NotRun(state.RefusedQueueFull, "the queue of the priority class is full")
+}
--- /dev/null
+++ b/coordination/admission/simulation_test.go
@@ -0,0 +1,211 @@
+package admission_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/admission"
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// load is a stream of calls of one class with exponential gaps.
+type load struct {
+	class    state.PriorityClass
+	perSec   float64
+	callers  int
+	service  time.Duration
+	deadline time.Duration
+	target   time.Duration
+}
+
+// outcome counts what became of the calls of one class.
+type outcome struct {
+	offered, answered, inTarget, refused, late int
+	slotTime                                   time.Duration
+}
+
+// server is what the loads are sent to: a gate or the baseline.
+type server interface {
+	request(now time.Time, head call.Head) ticket
+	release(now time.Time, ticket ticket)
+}
+
+// ticket is the place of one call at a server.
+type ticket interface {
+	decided() bool
+	refused() bool
+}
+
+type simulated struct {
+	load    load
+	arrived time.Time
+	started time.Time
+	ticket  ticket
+}
+
+type event struct {
+	at    time.Time
+	order int
+	run   func(now time.Time)
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simulation runs loads against a server in virtual time.
+type simulation struct {
+	server   server
+	random   *rand.Rand
+	events   events
+	order    int
+	waiting  []*simulated
+	outcomes [state.ClassCount]outcome
+}
+
+func simulate(server server, seed uint64, length time.Duration, loads ...load) [state.ClassCount]outcome {
+	s := &simulation{server: server, random: rand.New(rand.NewPCG(seed, 0))}
+	end := epoch.Add(length)
+	for _, load := range loads {
+		s.scheduleArrival(epoch, end, load)
+	}
+	for len(s.events) > 0 {
+		next := heap.Pop(&s.events).(event)
+		next.run(next.at)
+		s.collect(next.at)
+	}
+	return s.outcomes
+}
+
+func (s *simulation) schedule(at time.Time, run func(time.Time)) {
+	s.order++
+	heap.Push(&s.events, event{at: at, order: s.order, run: run})
+}
+
+func (s *simulation) scheduleArrival(after, end time.Time, load load) {
+	at := after.Add(time.Duration(s.random.ExpFloat64() / load.perSec * float64(time.Second)))
+	if at.After(end) {
+		return
+	}
+	s.schedule(at, func(now time.Time) {
+		s.arrive(now, load)
+		s.scheduleArrival(now, end, load)
+	})
+}
+
+func (s *simulation) arrive(now time.Time, load load) {
+	s.outcomes[load.class].offered++
+	head := call.Head{
+		Class:    load.class,
+		Caller:   state.CallerName(rune('a' + s.random.IntN(max(1, load.callers)))),
+		Deadline: now.Add(load.deadline),
+		Wanted:   now.Add(load.target),
+	}
+	s.waiting = append(s.waiting, &simulated{load: load, arrived: now, ticket: s.server.request(now, head)})
+}
+
+// collect starts and refuses the calls that the server has decided on.
+func (s *simulation) collect(now time.Time) {
+	kept := s.waiting[:0]
+	for _, waiting := range s.waiting {
+		if !waiting.ticket.decided() {
+			kept = append(kept, waiting)
+			continue
+		}
+		s.decide(now, waiting)
+	}
+	s.waiting = kept
+}
+
+func (s *simulation) decide(now time.Time, decided *simulated) {
+	if decided.ticket.refused() {
+		s.outcomes[decided.load.class].refused++
+		return
+	}
+	decided.started = now
+	service := time.Duration(float64(decided.load.service) * (0.5 + s.random.Float64()))
+	s.schedule(now.Add(service), func(now time.Time) { s.finish(now, decided) })
+}
+
+func (s *simulation) finish(now time.Time, done *simulated) {
+	counts := &s.outcomes[done.load.class]
+	counts.slotTime += now.Sub(done.started)
+	switch took := now.Sub(done.arrived); {
+	case took > done.load.deadline:
+		counts.late++
+	default:
+		counts.answered++
+		if took <= done.load.target {
+			counts.inTarget++
+		}
+	}
+	s.server.release(now, done.ticket)
+}
+
+// gateServer is a Gate in a simulation.
+type gateServer struct{ gate *admission.Gate }
+
+type gateTicket struct{ pass *admission.Pass }
+
+func (g gateServer) request(now time.Time, head call.Head) ticket {
+	return gateTicket{g.gate.Request(now, head)}
+}
+
+func (g gateServer) release(now time.Time, t ticket) { g.gate.Release(now, t.(gateTicket).pass) }
+
+func (t gateTicket) decided() bool {
+	select {
+	case <-t.pass.Decided():
+		return true
+	default:
+		return false
+	}
+}
+
+func (t gateTicket) refused() bool { return t.pass.Refusal() != nil }
+
+// firstCome is the baseline: one bounded queue, first come, first served.
+type firstCome struct {
+	slots, queueLimit, running int
+	queue                      []*firstComeTicket
+}
+
+type firstComeTicket struct{ granted, full bool }
+
+func (f *firstCome) request(_ time.Time, _ call.Head) ticket {
+	t := &firstComeTicket{}
+	switch {
+	case f.running < f.slots:
+		f.running++
+		t.granted = true
+	case len(f.queue) >= f.queueLimit:
+		t.full = true
+	default:
+		f.queue = append(f.queue, t)
+	}
+	return t
+}
+
+func (f *firstCome) release(time.Time, ticket) {
+	if len(f.queue) == 0 {
+		f.running--
+		return
+	}
+	f.queue[0].granted = true
+	f.queue = f.queue[1:]
+}
+
+func (t *firstComeTicket) decided() bool { return t.granted || t.full }
+func (t *firstComeTicket) refused() bool { return t.full }
--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -23,8 +23,12 @@
 	BackendServer state.BackendServerName
 	Class         state.PriorityClass
 	Caller        state.CallerName
-	// Deadline is the time at which the caller gives up.
-	Deadline    time.Time
+	// Deadline is the time at which the caller gives up. It is always set.
+	Deadline time.Time
+	// Wanted is the time by which the users want the answer: the arrival at
+	// the entry node plus the latency target of the route. The zero time
+	// means that any time before Deadline will do.
+	Wanted      time.Time
 	Fingerprint state.Fingerprint
 	// IdempotencyKey is empty when the caller gave none.
 	IdempotencyKey string
