Write the bytes of a call to one backend connection only

net/http sends a request again when a kept connection breaks and the request looks replayable: GET and HEAD, and any request without a body that has an Idempotency-Key. A booking could so run twice, and a call that waited for a connection past its deadline was reported as a failed backend server.

A delivery now ties each call to the first connection that it writes to, and a write on another one fails. It also says for sure whether any byte was written, so that "not run" stays true. The tests failed before the change: the backend server received the call twice, for a GET and for a POST with a key.

--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -31,7 +31,7 @@
 	admission *admission.Gate
 	server    state.BackendServer
 	service   state.Service
-	client    *http.Client
+	transport *http.Transport
 }
 
 // New returns a guard for the backend servers of a host.
@@ -120,16 +120,16 @@
 		admission: admission.NewGate(server, service),
 		server:    server,
 		service:   service,
-		client:    g.newClient(server),
+		transport: g.newTransport(server),
 	}
 }
 
 // changed returns a gate with new settings that shares the slots in use.
 func (g *Guard) changed(old *gate, server state.BackendServer, service state.Service) *gate {
 	old.admission.Configure(time.Now(), server, service)
-	next := &gate{admission: old.admission, server: server, service: service, client: old.client}
+	next := &gate{admission: old.admission, server: server, service: service, transport: old.transport}
 	if server.Address != old.server.Address || server.Connections != old.server.Connections {
-		next.client = g.newClient(server)
+		next.transport = g.newTransport(server)
 	}
 	return next
 }
--- /dev/null
+++ b/transport/guard/guard_test.go
@@ -0,0 +1,196 @@
+package guard_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/callstream"
+	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/network"
+)
+
+const backendAddress = "192.0.2.7:8080"
+
+// rig is a guard with the one backend server "desk-0".
+type rig struct {
+	t       *testing.T
+	network *network.Memory
+	guard   *guard.Guard
+}
+
+func newRig(t *testing.T, connections int) *rig {
+	builder := state.NewSnapshotBuilder(nil)
+	builder.Set(state.Resources{
+		Services: []state.Service{{Name: "desk", QueueLimits: [state.ClassCount]int{8, 8, 8, 8}}},
+		BackendServers: []state.BackendServer{{
+			Name: "desk-0", Service: "desk", Host: "host-0", Address: backendAddress, Slots: 6, Connections: connections,
+		}},
+	})
+	snapshots := state.NewSnapshotStore(1)
+	require.True(t, snapshots.Swap(builder.Build(1, 1)))
+	memory := network.NewMemory()
+	return &rig{t: t, network: memory, guard: guard.New("host-0", snapshots, memory)}
+}
+
+// serve answers each connection to the backend server with handle.
+func (r *rig) serve(handle func(conn net.Conn)) {
+	listener, err := r.network.Listen(r.t.Context(), backendAddress)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go handle(conn)
+		}
+	}()
+}
+
+func (r *rig) do(method, key string) (*callstream.Reply, *state.Refusal) {
+	return r.doWith(r.t.Context(), method, key, nil)
+}
+
+func (r *rig) doWith(ctx context.Context, method, key string, body io.Reader) (*callstream.Reply, *state.Refusal) {
+	head := call.Head{
+		ID: "id-1", Ticket: 1, BackendServer: "desk-0", Class: state.ClassHigh,
+		Deadline: time.Now().Add(time.Second), IdempotencyKey: key,
+		Method: method, Target: "/", Authority: "desk.example",
+	}
+	if key != "" {
+		head.Fields = []call.Field{{Name: "Idempotency-Key", Value: key}}
+	}
+	if body != nil {
+		head.ContentLength = -1
+	}
+	ctx, cancel := context.WithDeadline(ctx, head.Deadline)
+	r.t.Cleanup(cancel)
+	return r.guard.Handle(ctx, head, body)
+}
+
+func (r *rig) finish(reply *callstream.Reply, refusal *state.Refusal) {
+	require.Nil(r.t, refusal)
+	_, err := io.Copy(io.Discard, reply.Body)
+	require.NoError(r.t, err)
+	require.NoError(r.t, reply.Body.Close())
+}
+
+// answerOnce answers the first request of a connection, takes the second one
+// whole and breaks the connection without an answer.
+func answerOnce(received *atomic.Int32) func(net.Conn) {
+	return func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for i := range 2 {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			received.Add(1)
+			if i == 0 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+	}
+}
+
+func TestCallReachesTheBackendServerOnceWhenItsConnectionBreaks(t *testing.T) {
+	for name, test := range map[string]struct{ method, key string }{
+		"method that the client would send again": {method: http.MethodGet},
+		"key that makes the client send again":    {method: http.MethodPost, key: "notice-7"},
+		"plain post":                              {method: http.MethodPost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 10)
+				var received atomic.Int32
+				r.serve(answerOnce(&received))
+				r.finish(r.do(http.MethodGet, ""))
+				_, refusal := r.do(test.method, test.key)
+				require.NotNil(t, refusal)
+				require.Equal(t, state.OutcomeMayHaveRun, refusal.Outcome)
+				require.EqualValues(t, 2, received.Load())
+			})
+		})
+	}
+}
+
+func TestNotRunIsTrue(t *testing.T) {
+	t.Run("nobody listens", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			_, refusal := newRig(t, 10).do(http.MethodPost, "")
+			require.Equal(t, state.OutcomeNotRun, refusal.Outcome)
+			require.Equal(t, state.RefusedBackendServerFailed, refusal.Reason)
+		})
+	})
+	t.Run("kept connection was closed before the call", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 10)
+			var received atomic.Int32
+			r.serve(func(conn net.Conn) {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					received.Add(1)
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			r.finish(r.do(http.MethodPost, ""))
+			synctest.Wait()
+			r.finish(r.do(http.MethodPost, ""))
+			require.EqualValues(t, 2, received.Load())
+		})
+	})
+	t.Run("no connection came free before the deadline", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 1)
+			var received atomic.Int32
+			r.serve(func(conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					received.Add(1)
+					_, _ = io.Copy(io.Discard, conn)
+				}
+			})
+			first := make(chan *state.Refusal, 1)
+			go func() {
+				_, refusal := r.do(http.MethodPost, "")
+				first <- refusal
+			}()
+			synctest.Wait()
+			_, refusal := r.do(http.MethodPost, "")
+			require.Equal(t, state.OutcomeNotRun, refusal.Outcome)
+			require.Equal(t, state.RefusedDeadline, refusal.Reason)
+			require.Equal(t, state.OutcomeMayHaveRun, (<-first).Outcome)
+			require.EqualValues(t, 1, received.Load())
+		})
+	})
+	t.Run("backend server does not read and the call is given up", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 10)
+			var bytes atomic.Int64
+			release := make(chan struct{})
+			r.serve(func(conn net.Conn) {
+				<-release
+				n, _ := io.Copy(io.Discard, conn)
+				bytes.Add(n)
+			})
+			_, refusal := r.doWith(t.Context(), http.MethodPost, "", strings.NewReader("body"))
+			close(release)
+			synctest.Wait()
+			if refusal.Outcome == state.OutcomeNotRun {
+				require.Zero(t, bytes.Load())
+			}
+		})
+	})
+}
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,40 +16,45 @@
 	"github.com/wasabiport/wasabiport/transport/callstream"
 )
 
-func (g *Guard) newClient(server state.BackendServer) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-				return g.network.Dial(ctx, address)
-			},
-			MaxConnsPerHost:     server.Connections,
-			MaxIdleConnsPerHost: server.Connections,
-			DisableCompression:  true,
+func (g *Guard) newTransport(server state.BackendServer) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := g.network.Dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &backendConn{Conn: conn}, nil
 		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		MaxConnsPerHost:     server.Connections,
+		MaxIdleConnsPerHost: server.Connections,
+		DisableCompression:  true,
 	}
 }
 
-// run sends a call to the backend server. It calls release once the body of
-// the reply is closed.
+// run sends a call to the backend server. It calls beforeSend before the first
+// byte is written, and release once the body of the reply is closed.
 func (g *gate) run(
 	ctx context.Context,
 	head call.Head,
 	body io.Reader,
 	release func(),
 ) (*callstream.Reply, *state.Refusal) {
-	// The client sends a request again when a kept connection turns out to
-	// be closed. A call must reach the backend server once, so it is counted
-	// as sent when the first connection for it is there.
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), g.server, head, body)
+	ctx, cancel := context.WithCancelCause(ctx)
+	delivery := &delivery{repeatable: head.Idempotent, cancel: cancel, beforeSend: func() {}}
+	request, err := newRequest(httptrace.WithClientTrace(ctx, delivery.trace()), g.server, head, body)
 	if err != nil {
+		cancel(err)
 		return nil, state.NotRun(state.RefusedBadRequest, "the request can't be passed on")
 	}
-	response, err := g.client.Do(request) //nolint:bodyclose // closed with the reply's body
+	response, err := g.transport.RoundTrip(request) //nolint:bodyclose // closed with the reply's body
 	if err != nil {
-		return nil, failure(err, sent.Load())
+		refusal := failure(ctx, delivery.end())
+		cancel(err)
+		return nil, refusal
+	}
+	done := func() {
+		cancel(nil)
+		release()
 	}
 	reply := &callstream.Reply{
 		Head: call.ReplyHead{
@@ -59,7 +63,7 @@
 			Fields:        httpmap.Fields(response.Header),
 			ContentLength: response.ContentLength,
 		},
-		Body:     &releasingBody{ReadCloser: response.Body, release: release},
+		Body:     &releasingBody{ReadCloser: response.Body, release: done},
 		Trailers: func() []call.Field { return httpmap.Fields(response.Trailer) },
 	}
 	return reply, nil
@@ -86,17 +90,27 @@
 	return request, nil
 }
 
-func failure(err error, sent bool) *state.Refusal {
+// failure returns the refusal for a call without an answer. Its context tells
+// apart a call that was given up from a backend server that failed.
+func failure(ctx context.Context, notRun bool) *state.Refusal {
+	refusal := &state.Refusal{
+		Reason:  state.RefusedBackendServerFailed,
+		Outcome: state.OutcomeMayHaveRun,
+		Detail:  "the backend server failed while it had the call",
+	}
+	if notRun {
+		refusal.Outcome = state.OutcomeNotRun
+		refusal.Detail = "the backend server can't be reached"
+	}
 	switch {
-	case !sent:
-		return state.NotRun(state.RefusedBackendServerFailed, "the backend server can't be reached")
-	case errors.Is(err, context.DeadlineExceeded):
-		return state.MayHaveRun(state.RefusedDeadline, "the deadline passed while the call ran")
-	case errors.Is(err, context.Canceled):
-		return state.MayHaveRun(state.RefusedCanceled, "the caller went away while the call ran")
-	default:
-		return state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server failed while it had the call")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		refusal.Reason = state.RefusedDeadline
+		refusal.Detail = "the deadline passed before the backend server answered"
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		refusal.Reason = state.RefusedCanceled
+		refusal.Detail = "the caller went away before the backend server answered"
 	}
+	return refusal
 }
 
 // releasingBody gives the slot back when the body is closed.
