Pick by direct sight, and ask one owner for each key

The thin picker believed every hint for ever, sent nothing or everything to other availability zones, and gave a resend to any backend server.

Picks now go to the own availability zone, then the region, then the rest. A zone whose backend servers are all saturated by fresh hints spills the share of its work that is beyond its slots, at most half. Hints fade, and picks since the last hint count as load. A backend server that was seen draining gets nothing until its host has left and come back, whatever later hints say; one that failed is left out for a growing time with full jitter.

keyowner names the guard that keeps the record of an idempotency key by rendezvous hash over the configured backend servers, and remembers at the guard since when it has been the owner. Records refuse keys that may have run under the owner before.

The tests fail when a late hint undoes a drain and when all calls spill.

--- a/coordination/callrecord/claim.go
+++ b/coordination/callrecord/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -42,7 +43,7 @@
 	Refusal *state.Refusal
 
 	id     state.CallID
-	key    recordKey
+	key    keyowner.Key
 	record *record
 }
 
--- a/coordination/callrecord/config.go
+++ b/coordination/callrecord/config.go
@@ -4,7 +4,12 @@
 // truthfully.
 package callrecord
 
-import "time"
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
+	"github.com/wasabiport/wasabiport/state"
+)
 
 // Defaults of Config.
 const (
@@ -15,8 +20,18 @@
 	DefaultClockSkew     = 2 * time.Second
 )
 
+// Owners tells since when this node has been the one to ask for a key.
+type Owners interface {
+	// Since returns the time from which the backend server self has been
+	// asked for key, or the zero time when it has been all along.
+	Since(service state.ServiceName, self state.BackendServerName, key keyowner.Key) time.Time
+}
+
 // Config holds the settings of Records.
 type Config struct {
+	// Owners tells which keys this node has taken over from another one,
+	// whose records it does not have. Without it, none.
+	Owners Owners
 	// Started is the time from which this node keeps records. A key that may
 	// be older could have run under a predecessor and is refused.
 	Started time.Time
--- a/coordination/callrecord/key.go
+++ b/coordination/callrecord/key.go
@@ -5,30 +5,35 @@
 
 	"github.com/google/uuid"
 
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/state"
 )
 
 const uuidVersionWithTime = 7
 
 // refuseOldKey refuses a key without a record when a call with it may have run
-// before: under a predecessor of this node, whose records are lost, or so long
-// ago that its record is forgotten.
-func (r *Records) refuseOldKey(now time.Time, key string, retention time.Duration) *state.Refusal {
-	made, ok := keyTime(key)
+// before: under a predecessor of this node, whose records are lost, under the
+// node that was asked for the key before, or so long ago that its record is
+// forgotten.
+func (r *Records) refuseOldKey(now time.Time, head call.Head, service state.Service) *state.Refusal {
+	since := r.recordsSince(head, service)
+	retention := r.retentionOf(service)
+	made, ok := keyTime(head.IdempotencyKey)
 	if ok && !made.After(now.Add(r.config.ClockSkew)) {
-		return r.refuseKeyMade(now, made, retention)
+		return r.refuseKeyMade(now, made, since, retention)
 	}
-	if now.Before(r.config.Started.Add(retention)) {
-		refusal := mayHaveRunBeforeStart()
-		refusal.RetryAfter = r.config.Started.Add(retention).Sub(now)
+	if all := since.Add(retention); now.Before(all) {
+		refusal := mayHaveRunBeforeRecords()
+		refusal.RetryAfter = all.Sub(now)
 		return refusal
 	}
 	return nil
 }
 
-func (r *Records) refuseKeyMade(now, made time.Time, retention time.Duration) *state.Refusal {
-	if !made.After(r.config.Started.Add(r.config.ClockSkew)) {
-		return mayHaveRunBeforeStart()
+func (r *Records) refuseKeyMade(now, made, since time.Time, retention time.Duration) *state.Refusal {
+	if !made.After(since.Add(r.config.ClockSkew)) {
+		return mayHaveRunBeforeRecords()
 	}
 	if !now.Before(made.Add(retention - r.config.ClockSkew)) {
 		return mayHaveRunForgotten()
@@ -36,6 +41,27 @@
 	return nil
 }
 
+// recordsSince returns the time from which every call with the key of head has
+// left its record here.
+func (r *Records) recordsSince(head call.Head, service state.Service) time.Time {
+	since := r.config.Started
+	if r.config.Owners == nil {
+		return since
+	}
+	key := keyowner.Key{Caller: head.Caller, Value: head.IdempotencyKey}
+	if owned := r.config.Owners.Since(service.Name, head.BackendServer, key); owned.After(since) {
+		return owned
+	}
+	return since
+}
+
+func (r *Records) retentionOf(service state.Service) time.Duration {
+	if service.RecordRetention > 0 {
+		return service.RecordRetention
+	}
+	return r.config.Retention
+}
+
 // keyTime returns the time that a UUIDv7 key carries, to the millisecond.
 func keyTime(key string) (time.Time, bool) {
 	id, err := uuid.Parse(key)
--- a/coordination/callrecord/records.go
+++ b/coordination/callrecord/records.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -14,13 +15,7 @@
 // run. It is safe for use by many threads; records are in shards by key.
 type Records struct {
 	config  Config
-	records *state.ExpiringMap[recordKey, *record]
-}
-
-// recordKey scopes a key to its caller: callers don't know each other's keys.
-type recordKey struct {
-	caller state.CallerName
-	key    string
+	records *state.ExpiringMap[keyowner.Key, *record]
 }
 
 type phase uint8
@@ -54,7 +49,7 @@
 	config = config.withDefaults()
 	return &Records{
 		config: config,
-		records: state.NewExpiringMap[recordKey, *record](state.ExpiringMapConfig{
+		records: state.NewExpiringMap[keyowner.Key, *record](state.ExpiringMapConfig{
 			Shards:    state.DefaultShardCount,
 			MaxValues: config.MaxRecords,
 			MaxBytes:  config.MaxBytes,
@@ -69,7 +64,7 @@
 	if head.IdempotencyKey == "" || head.Idempotent {
 		return claim
 	}
-	claim.key = recordKey{caller: head.Caller, key: head.IdempotencyKey}
+	claim.key = keyowner.Key{Caller: head.Caller, Value: head.IdempotencyKey}
 	stored := r.records.Update(now, claim.key, func(held *record, present bool) state.Change[*record] {
 		if present {
 			claim.meet(held, head)
@@ -133,17 +128,13 @@
 	service state.Service,
 	claim *Claim,
 ) state.Change[*record] {
-	retention := service.RecordRetention
-	if retention == 0 {
-		retention = r.config.Retention
-	}
-	if refusal := r.refuseOldKey(now, head.IdempotencyKey, retention); refusal != nil {
+	if refusal := r.refuseOldKey(now, head, service); refusal != nil {
 		claim.refuse(refusal)
 		return state.Change[*record]{}
 	}
 	claim.record = &record{
 		fingerprint: head.Fingerprint,
-		retention:   retention,
+		retention:   r.retentionOf(service),
 		done:        make(chan struct{}),
 	}
 	return state.Change[*record]{Kind: state.ChangePut, Value: claim.record, Bytes: recordBytes}
--- a/coordination/callrecord/refusals.go
+++ b/coordination/callrecord/refusals.go
@@ -6,7 +6,7 @@
 	return state.NotRun(state.RefusedConflict, "the idempotency key belongs to another request")
 }
 
-func mayHaveRunBeforeStart() *state.Refusal {
+func mayHaveRunBeforeRecords() *state.Refusal {
 	return state.MayHaveRun(state.RefusedConflict,
 		"the idempotency key may be older than the records of this node")
 }
--- /dev/null
+++ b/coordination/keyowner/keyowner_test.go
@@ -0,0 +1,76 @@
+package keyowner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+const memory = 10 * time.Minute
+
+var (
+	epoch   = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	servers = []state.BackendServerName{"booking-1", "booking-2", "booking-3", "booking-4"}
+)
+
+func keyNumber(i int) keyowner.Key { return keyowner.Key{Caller: "clinic-7", Value: fmt.Sprint(i)} }
+
+func without(gone state.BackendServerName) []state.BackendServerName {
+	return slices.DeleteFunc(slices.Clone(servers), func(name state.BackendServerName) bool { return name == gone })
+}
+
+func TestOrderMovesOnlyTheKeysOfAServerThatIsGone(t *testing.T) {
+	owned := make(map[state.BackendServerName]int)
+	for i := range 1000 {
+		order := keyowner.Order(servers, keyNumber(i))
+		owned[order[0]]++
+		rest := keyowner.Order(without(order[3]), keyNumber(i))
+		require.Equal(t, order[:3], rest)
+		require.Equal(t, order[1:], keyowner.Order(without(order[0]), keyNumber(i)))
+	}
+	for _, server := range servers {
+		require.InDelta(t, 250, owned[server], 75, server)
+	}
+}
+
+func TestSince(t *testing.T) {
+	order := keyowner.Order(servers, keyNumber(1))
+	first, second := order[0], order[1]
+	serving := keyowner.Membership{Servers: servers, Serving: true}
+	removed := keyowner.Membership{Servers: without(first), Serving: true}
+	draining := keyowner.Membership{Servers: servers}
+	at := func(minutes int) time.Time { return epoch.Add(time.Duration(minutes) * time.Minute) }
+	tests := map[string]struct {
+		self    state.BackendServerName
+		changes []keyowner.Membership // one a minute
+		since   time.Time
+	}{
+		"owner all along":                        {self: first, changes: []keyowner.Membership{serving}, since: at(0)},
+		"owner by a removal":                     {self: second, changes: []keyowner.Membership{serving, removed}, since: at(1)},
+		"passed on to by a server that declined": {self: second, changes: []keyowner.Membership{serving}, since: at(0)},
+		"owner again after it declined": {
+			self: first, changes: []keyowner.Membership{serving, draining, serving}, since: at(2),
+		},
+		"a removal that was reverted": {
+			self: first, changes: []keyowner.Membership{serving, removed, serving}, since: at(2),
+		},
+		"not affected by a removal": {
+			self: order[2], changes: []keyowner.Membership{serving, {Servers: without(order[3]), Serving: true}}, since: at(0),
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			history := keyowner.NewHistory(memory)
+			for i, membership := range test.changes {
+				history.Observe(at(i), "booking", membership)
+			}
+			require.Equal(t, test.since, history.Since("booking", test.self, keyNumber(1)))
+		})
+	}
+}
--- a/coordination/picking/picking.go
+++ b/coordination/picking/picking.go
@@ -1,4 +1,3 @@
-// Package picking chooses the backend server for a call.
 package picking
 
 import (
@@ -8,40 +7,25 @@
 	"time"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/state"
 )
 
-// Config holds the settings of a Picker.
-type Config struct {
-	// Zone is the availability zone of this node.
-	Zone state.AvailabilityZone
-}
-
-// HostPhases tells what is known of the hosts of backend servers.
-type HostPhases interface {
-	// PhaseOf returns the phase of a host.
-	PhaseOf(host state.HostName) state.HostPhase
-}
-
-// Picker chooses backend servers. It is safe for use by many threads.
+// Picker chooses backend servers. It is safe for use by many threads; what it
+// has seen is in shards by backend server.
 type Picker struct {
 	config Config
 	hosts  HostPhases
-	hints  *state.ShardedMap[state.BackendServerName, hint]
+	sights *state.ShardedMap[state.BackendServerName, sight]
 	random lockedRandom
 }
 
-type hint struct {
-	load     call.LoadHint
-	observed time.Time
-}
-
-// NewPicker returns a picker without load hints.
+// NewPicker returns a picker that has seen nothing.
 func NewPicker(config Config, hosts HostPhases, random *rand.Rand) *Picker {
 	return &Picker{
-		config: config,
+		config: config.withDefaults(),
 		hosts:  hosts,
-		hints:  state.NewShardedMap[state.BackendServerName, hint](state.DefaultShardCount),
+		sights: state.NewShardedMap[state.BackendServerName, sight](state.DefaultShardCount),
 		random: lockedRandom{random: random},
 	}
 }
@@ -53,55 +37,100 @@
 	service state.ServiceName,
 	tried []state.BackendServerName,
 ) (state.BackendServer, *state.Refusal) {
-	candidates := p.candidates(snapshot.BackendServersOf(service), tried)
+	settings, _ := snapshot.Service(service)
+	candidates := p.choose(p.tiers(now, snapshot.BackendServersOf(service), tried, settings.SlowStart))
 	if len(candidates) == 0 {
-		return state.BackendServer{}, state.NotRun(state.RefusedNoBackendServer,
-			"no backend server of the service can take the call")
+		return state.BackendServer{}, noBackendServer()
+	}
+	picked := p.lessLoaded(candidates)
+	p.sights.Update(picked.Name, func(seen sight, _ bool) (sight, bool) {
+		return seen.withPick(now, p.config.HintHalfLife), true
+	})
+	return picked, nil
+}
+
+// PickKeyed returns the backend server that has to be asked next for a call
+// with an idempotency key, when those in declined take no new calls and said
+// that they have not run it. The health of backend servers plays no part: only
+// the first that has not declined can know whether the call has run.
+func (p *Picker) PickKeyed(
+	snapshot *state.Snapshot,
+	service state.ServiceName,
+	key keyowner.Key,
+	declined []state.BackendServerName,
+) (state.BackendServer, *state.Refusal) {
+	var names []state.BackendServerName
+	for _, server := range snapshot.BackendServersOf(service) {
+		names = append(names, server.Name)
+	}
+	for _, name := range keyowner.Order(names, key) {
+		if !slices.Contains(declined, name) {
+			server, _ := snapshot.BackendServer(name)
+			return server, nil
+		}
 	}
-	return p.lessLoaded(candidates), nil
+	return state.BackendServer{}, noBackendServer()
 }
 
-// Observe records the load hint of a reply.
+// Observe records the load hint of a reply or refusal. It ends the time for
+// which the backend server is left out.
 func (p *Picker) Observe(now time.Time, load call.LoadHint) {
-	p.hints.Set(load.BackendServer, hint{load: load, observed: now})
+	p.sights.Update(load.BackendServer, func(seen sight, _ bool) (sight, bool) {
+		return seen.withHint(now, load), true
+	})
 }
 
-func (p *Picker) candidates(servers []state.BackendServer, tried []state.BackendServerName) []state.BackendServer {
-	var own, others []state.BackendServer
-	for _, server := range servers {
-		usable := !server.Draining &&
-			!slices.Contains(tried, server.Name) &&
-			p.hosts.PhaseOf(server.Host) == state.HostLive
-		if !usable {
-			continue
-		}
-		if server.Zone == p.config.Zone {
-			own = append(own, server)
-		} else {
-			others = append(others, server)
-		}
-	}
-	if len(own) > 0 {
-		return own
+// ObserveRefusal learns from the refusal of an attempt at a backend server.
+func (p *Picker) ObserveRefusal(now time.Time, server state.BackendServerName, refusal *state.Refusal) {
+	switch refusal.Reason {
+	case state.RefusedDraining:
+		p.sights.Update(server, func(seen sight, _ bool) (sight, bool) {
+			return seen.withDraining(now), true
+		})
+	case state.RefusedUnreachable, state.RefusedBackendServerFailed:
+		draw := p.random.float64()
+		p.sights.Update(server, func(seen sight, _ bool) (sight, bool) {
+			return p.pushOut(now, seen, draw), true
+		})
+	default:
 	}
-	return others
 }
 
-func (p *Picker) lessLoaded(candidates []state.BackendServer) state.BackendServer {
-	first := candidates[p.random.intN(len(candidates))]
-	second := candidates[p.random.intN(len(candidates))]
-	if p.utilization(second) < p.utilization(first) {
-		return second
+// Forget drops what was seen of backend servers that are not in snapshot.
+func (p *Picker) Forget(snapshot *state.Snapshot) {
+	p.sights.RemoveIf(func(name state.BackendServerName, _ sight) bool {
+		_, configured := snapshot.BackendServer(name)
+		return !configured
+	})
+}
+
+// pushOut leaves a backend server out for a time with full jitter.
+func (p *Picker) pushOut(now time.Time, seen sight, draw float64) sight {
+	bound := p.config.BasePushOut
+	for range seen.failures {
+		bound = min(2*bound, p.config.MaxPushOut)
 	}
-	return first
+	seen.failures++
+	seen.pushedOut = now.Add(time.Duration(draw * float64(bound)))
+	return seen
 }
 
-func (p *Picker) utilization(server state.BackendServer) float64 {
-	known, ok := p.hints.Get(server.Name)
-	if !ok || known.load.Slots == 0 {
-		return 0
+// lessLoaded compares two candidates drawn at random.
+func (p *Picker) lessLoaded(candidates tier) state.BackendServer {
+	i := p.random.intN(len(candidates))
+	first := candidates[i]
+	if len(candidates) == 1 {
+		return *first.server
+	}
+	second := candidates[(i+1+p.random.intN(len(candidates)-1))%len(candidates)]
+	if second.score < first.score {
+		return *second.server
 	}
-	return float64(known.load.Running+known.load.Waiting) / float64(known.load.Slots)
+	return *first.server
+}
+
+func noBackendServer() *state.Refusal {
+	return state.NotRun(state.RefusedNoBackendServer, "no backend server of the service can take the call")
 }
 
 type lockedRandom struct {
@@ -114,3 +143,9 @@
 	defer r.mu.Unlock()
 	return r.random.IntN(n)
 }
+
+func (r *lockedRandom) float64() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Float64()
+}
--- /dev/null
+++ b/coordination/picking/picking_test.go
@@ -0,0 +1,278 @@
+package picking_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
+	"github.com/wasabiport/wasabiport/coordination/picking"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+const (
+	service = state.ServiceName("imaging")
+	picks   = 2000
+)
+
+var epoch = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// fleet is what the picker is told about hosts.
+type fleet struct {
+	phases  map[state.HostName]state.HostPhase
+	regions map[state.HostName]state.Region
+}
+
+func (f fleet) PhaseOf(host state.HostName) state.HostPhase { return f.phases[host] }
+
+func (f fleet) RegionOf(host state.HostName) (state.Region, bool) {
+	region, ok := f.regions[host]
+	return region, ok
+}
+
+// newFleet returns two backend servers in each of lahore (the own zone),
+// multan (same region) and north (another one).
+func newFleet() (fleet, *state.Snapshot) {
+	f := fleet{phases: make(map[state.HostName]state.HostPhase), regions: make(map[state.HostName]state.Region)}
+	resources := state.Resources{Services: []state.Service{{Name: service, SlowStart: 10 * time.Second}}}
+	for _, zone := range []state.AvailabilityZone{"lahore", "multan", "north"} {
+		for i := 1; i <= 2; i++ {
+			name := fmt.Sprintf("%s-%d", zone, i)
+			host := state.HostName("host-" + name)
+			f.regions[host] = "punjab"
+			if zone == "north" {
+				f.regions[host] = "lakes"
+			}
+			resources.BackendServers = append(resources.BackendServers, state.BackendServer{
+				Name: state.BackendServerName(name), Service: service, Host: host, Zone: zone, Slots: 12,
+			})
+		}
+	}
+	builder := state.NewSnapshotBuilder(nil)
+	builder.Set(resources)
+	return f, builder.Build(1, 1)
+}
+
+func newPicker(f fleet) *picking.Picker {
+	return picking.NewPicker(picking.Config{Zone: "lahore", Region: "punjab", Regions: f}, f, rand.New(rand.NewPCG(1, 2)))
+}
+
+func pickMany(t require.TestingT, picker *picking.Picker, now time.Time, snapshot *state.Snapshot) map[state.BackendServerName]int {
+	counts := make(map[state.BackendServerName]int)
+	for range picks {
+		server, refusal := picker.Pick(now, snapshot, service, nil)
+		require.Nil(t, refusal)
+		counts[server.Name]++
+	}
+	return counts
+}
+
+func picksOf(picker *picking.Picker, now time.Time, snapshot *state.Snapshot, name state.BackendServerName, n int) int {
+	picked := 0
+	for range n {
+		if server, _ := picker.Pick(now, snapshot, service, nil); server.Name == name {
+			picked++
+		}
+	}
+	return picked
+}
+
+func zoneShare(counts map[state.BackendServerName]int, zone string) float64 {
+	return float64(counts[state.BackendServerName(zone+"-1")]+counts[state.BackendServerName(zone+"-2")]) / picks
+}
+
+func hint(name state.BackendServerName, running, waiting int) call.LoadHint {
+	return call.LoadHint{BackendServer: name, Running: running, Waiting: waiting, Slots: 12}
+}
+
+func TestOwnZoneServesWhileItHasRoom(t *testing.T) {
+	f, snapshot := newFleet()
+	picker := newPicker(f)
+	picker.Observe(epoch, hint("lahore-1", 12, 60))
+	require.InDelta(t, 1, zoneShare(pickMany(t, picker, epoch, snapshot), "lahore"), 0)
+}
+
+func TestAShareSpillsOverWhenTheOwnZoneIsShort(t *testing.T) {
+	f, snapshot := newFleet()
+	picker := newPicker(f)
+	picker.Observe(epoch, hint("lahore-1", 12, 12))
+	picker.Observe(epoch, hint("lahore-2", 12, 12))
+	counts := pickMany(t, picker, epoch, snapshot)
+	require.InDelta(t, 0.5, zoneShare(counts, "multan"), 0.05, "half of the work is beyond the slots")
+	require.Zero(t, zoneShare(counts, "north"), "the own region has room")
+
+	later := epoch.Add(2 * picking.DefaultHintHalfLife)
+	require.InDelta(t, 1, zoneShare(pickMany(t, picker, later, snapshot), "lahore"), 0, "old hints prove nothing")
+}
+
+func TestLessLoadedServerIsPickedMoreOften(t *testing.T) {
+	f, snapshot := newFleet()
+	picker := newPicker(f)
+	now := epoch
+	counts := make(map[state.BackendServerName]int)
+	for range picks {
+		picker.Observe(now, hint("lahore-1", 10, 0))
+		picker.Observe(now, hint("lahore-2", 2, 0))
+		server, _ := picker.Pick(now, snapshot, service, nil)
+		counts[server.Name]++
+	}
+	require.Equal(t, picks, counts["lahore-2"])
+}
+
+func TestPicksBetweenHintsAreSpread(t *testing.T) {
+	f, snapshot := newFleet()
+	picker := newPicker(f)
+	picker.Observe(epoch, hint("lahore-1", 6, 0))
+	picker.Observe(epoch, hint("lahore-2", 0, 0))
+	counts := pickMany(t, picker, epoch, snapshot)
+	require.InDelta(t, picks/2, counts["lahore-1"], picks/50, "a stale hint must not draw a herd")
+}
+
+func TestDrainingServerGetsNothingForGood(t *testing.T) {
+	sights := map[string]func(*picking.Picker){
+		"hint":    func(p *picking.Picker) { p.Observe(epoch, call.LoadHint{BackendServer: "lahore-1", Draining: true}) },
+		"refusal": func(p *picking.Picker) { p.ObserveRefusal(epoch, "lahore-1", state.NotRun(state.RefusedDraining, "")) },
+	}
+	for name, see := range sights {
+		t.Run(name, func(t *testing.T) {
+			f, snapshot := newFleet()
+			picker := newPicker(f)
+			see(picker)
+			// A late hint that was sent before the drain.
+			picker.Observe(epoch, hint("lahore-1", 0, 0))
+			require.Zero(t, pickMany(t, picker, epoch.Add(time.Second), snapshot)["lahore-1"])
+
+			f.phases["host-lahore-1"] = state.HostLeaving
+			require.Zero(t, pickMany(t, picker, epoch.Add(2*time.Second), snapshot)["lahore-1"])
+			f.phases["host-lahore-1"] = state.HostLive
+			back := pickMany(t, picker, epoch.Add(3*time.Second), snapshot)["lahore-1"]
+			require.NotZero(t, back, "its host left and came back")
+			require.Less(t, back, picks/5, "a cold server gets little at first")
+		})
+	}
+}
+
+func TestServerOfALeavingHostGetsNothing(t *testing.T) {
+	f, snapshot := newFleet()
+	for _, phase := range []state.HostPhase{state.HostLeaving, state.HostGone} {
+		f.phases["host-lahore-1"] = phase
+		f.phases["host-lahore-2"] = phase
+		require.InDelta(t, 1, zoneShare(pickMany(t, newPicker(f), epoch, snapshot), "multan"), 0)
+	}
+}
+
+func TestFailuresPushAServerOutForAGrowingTime(t *testing.T) {
+	f, snapshot := newFleet()
+	unreachable := state.NotRun(state.RefusedUnreachable, "")
+	outFor := func(failures int) time.Duration {
+		var total time.Duration
+		for seed := range uint64(50) {
+			picker := picking.NewPicker(picking.Config{Zone: "lahore"}, f, rand.New(rand.NewPCG(seed, 0)))
+			for range failures {
+				picker.ObserveRefusal(epoch, "lahore-1", unreachable)
+			}
+			after := epoch
+			for picksOf(picker, after, snapshot, "lahore-1", 20) == 0 {
+				after = after.Add(100 * time.Millisecond)
+			}
+			total += after.Sub(epoch)
+		}
+		return total / 50
+	}
+	once, often := outFor(1), outFor(6)
+	require.LessOrEqual(t, once, picking.DefaultBasePushOut)
+	require.Greater(t, often, 8*once)
+
+	picker := newPicker(f)
+	picker.ObserveRefusal(epoch, "lahore-1", unreachable)
+	picker.Observe(epoch, hint("lahore-1", 0, 0))
+	require.NotZero(t, pickMany(t, picker, epoch, snapshot)["lahore-1"], "an answer ends it")
+}
+
+func TestFailedServersAreBetterThanNone(t *testing.T) {
+	f, snapshot := newFleet()
+	picker := newPicker(f)
+	for _, server := range snapshot.BackendServersOf(service) {
+		for range 8 {
+			picker.ObserveRefusal(epoch, server.Name, state.NotRun(state.RefusedUnreachable, ""))
+		}
+	}
+	_, refusal := picker.Pick(epoch, snapshot, service, nil)
+	require.Nil(t, refusal)
+}
+
+func TestPickKeyedKeepsToTheOwnerWhateverItsHealth(t *testing.T) {
+	f, snapshot := newFleet()
+	picker := newPicker(f)
+	key := keyowner.Key{Caller: "clinic-7", Value: "k"}
+	owner, refusal := picker.PickKeyed(snapshot, service, key, nil)
+	require.Nil(t, refusal)
+	f.phases[owner.Host] = state.HostGone
+	picker.ObserveRefusal(epoch, owner.Name, state.NotRun(state.RefusedUnreachable, ""))
+	again, _ := picker.PickKeyed(snapshot, service, key, nil)
+	require.Equal(t, owner.Name, again.Name)
+	next, _ := picker.PickKeyed(snapshot, service, key, []state.BackendServerName{owner.Name})
+	require.NotEqual(t, owner.Name, next.Name)
+}
+
+// TestPickKeepsToItsModel compares the picker with a model that knows which
+// backend servers must not be picked.
+func TestPickKeepsToItsModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, snapshot := newFleet()
+		picker := newPicker(f)
+		now := epoch
+		servers := snapshot.BackendServersOf(service)
+		forbidden := make(map[state.BackendServerName]bool)
+		draw := func(t *rapid.T) state.BackendServer { return rapid.SampledFrom(servers).Draw(t, "server") }
+		t.Repeat(map[string]func(*rapid.T){
+			"drain": func(t *rapid.T) {
+				server := draw(t)
+				picker.ObserveRefusal(now, server.Name, state.NotRun(state.RefusedDraining, ""))
+				forbidden[server.Name] = true
+			},
+			"fail": func(t *rapid.T) {
+				picker.ObserveRefusal(now, draw(t).Name, state.NotRun(state.RefusedUnreachable, ""))
+			},
+			"leave": func(t *rapid.T) {
+				server := draw(t)
+				f.phases[server.Host] = state.HostGone
+				forbidden[server.Name] = true
+			},
+			"hint": func(t *rapid.T) {
+				picker.Observe(now, hint(draw(t).Name, rapid.IntRange(0, 12).Draw(t, "running"), rapid.IntRange(0, 50).Draw(t, "waiting")))
+			},
+			"wait": func(t *rapid.T) { now = now.Add(50 * time.Millisecond) },
+			"": func(t *rapid.T) {
+				if now.Sub(epoch) >= picking.DefaultDrainMemory {
+					return // drains are forgotten
+				}
+				tried := []state.BackendServerName{draw(t).Name}
+				server, refusal := picker.Pick(now, snapshot, service, tried)
+				usable := len(servers) - len(forbidden)
+				if !forbidden[tried[0]] {
+					usable--
+				}
+				require.Equal(t, usable == 0, refusal != nil)
+				if refusal == nil {
+					require.False(t, forbidden[server.Name])
+					require.NotEqual(t, tried[0], server.Name)
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	f, snapshot := newFleet()
+	picker := newPicker(f)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = picker.Pick(epoch, snapshot, service, nil)
+	}
+}
--- /dev/null
+++ b/coordination/picking/sight.go
@@ -0,0 +1,111 @@
+package picking
+
+import (
+	"math"
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// sight is what this node has seen of one backend server.
+type sight struct {
+	hint     call.LoadHint
+	observed time.Time
+	// picked counts the picks since the hint, and fades like it.
+	picked   float64
+	pickedAt time.Time
+
+	// drainingSince is set when the backend server was seen draining.
+	drainingSince time.Time
+	// left says that its host was seen to leave since.
+	left bool
+	// returned is the time at which it was first seen after that.
+	returned time.Time
+
+	failures  int
+	pushedOut time.Time
+}
+
+func fade(value float64, age, halfLife time.Duration) float64 {
+	return value * math.Exp2(-max(0, age.Seconds())/halfLife.Seconds())
+}
+
+// load estimates the calls that run and wait.
+func (s sight) load(now time.Time, halfLife time.Duration) float64 {
+	hinted := float64(s.hint.Running + s.hint.Waiting)
+	return fade(hinted, now.Sub(s.observed), halfLife) + fade(s.picked, now.Sub(s.pickedAt), halfLife)
+}
+
+// saturated reports whether a fresh hint says that a whole round of calls is
+// waiting for slots.
+func (s sight) saturated(now time.Time, halfLife time.Duration) bool {
+	fresh := now.Sub(s.observed) <= halfLife
+	return fresh && s.hint.Waiting > 0 && s.hint.Waiting >= s.hint.Slots
+}
+
+// score is the load for each slot, with the next call counted in. Less is
+// better.
+func (s sight) score(now time.Time, configuredSlots int, slowStart, halfLife time.Duration) float64 {
+	slots := float64(configuredSlots)
+	if now.Sub(s.observed) <= halfLife && s.hint.Slots > 0 {
+		slots = float64(s.hint.Slots)
+	}
+	return (s.load(now, halfLife) + 1) / max(1, slots*s.warmth(now, slowStart))
+}
+
+func (s sight) warmth(now time.Time, slowStart time.Duration) float64 {
+	if s.returned.IsZero() || slowStart <= 0 {
+		return 1
+	}
+	return min(1, max(coldWeight, float64(now.Sub(s.returned))/float64(slowStart)))
+}
+
+func (s sight) draining() bool { return !s.drainingSince.IsZero() }
+
+func (s sight) isPushedOut(now time.Time) bool { return now.Before(s.pushedOut) }
+
+func (s sight) withPick(now time.Time, halfLife time.Duration) sight {
+	s.picked = fade(s.picked, now.Sub(s.pickedAt), halfLife) + 1
+	s.pickedAt = now
+	return s
+}
+
+// withHint takes over a hint. Hints cross each other: one that says that a
+// backend server takes calls does not undo that it was seen draining.
+func (s sight) withHint(now time.Time, load call.LoadHint) sight {
+	s.hint = load
+	s.observed = now
+	s.picked = 0
+	s.failures = 0
+	s.pushedOut = time.Time{}
+	if load.Draining {
+		s = s.withDraining(now)
+	}
+	return s
+}
+
+func (s sight) withDraining(now time.Time) sight {
+	if !s.draining() {
+		s.left = false
+	}
+	s.drainingSince = now
+	return s
+}
+
+// withPhase judges whether a backend server that was seen draining is a new
+// one by now.
+func (s sight) withPhase(now time.Time, phase state.HostPhase, memory time.Duration) sight {
+	switch {
+	case phase == state.HostLeaving || phase == state.HostGone:
+		s.left = true
+	case s.left || now.Sub(s.drainingSince) >= memory:
+		s.drainingSince = time.Time{}
+		s.left = false
+		s.returned = now
+		s.hint = call.LoadHint{}
+		s.observed = time.Time{}
+	default:
+	}
+	return s
+}
