Record keyed calls at the guard and drain it gracefully

A call with an idempotency key is claimed in the records before it gets a slot, and runs on when its caller goes away, so that a resend gets the recorded answer and not "may have run". Its outcome is recorded when the end of the reply is read. Leave refuses waiting and new calls and AwaitDrained waits until the bodies of those that run are closed. The remaining time travels to the backend server in Wasabiport-Timeout.

The test of a resend failed when a keyed call was cancelled with its caller; the test of Leave hung when the gates were not drained.

--- a/node.go
+++ b/node.go
@@ -137,6 +137,7 @@
 	_ = n.operators.Close()
 	_ = n.listeners.peers.Close()
 	n.loop.Shutdown()
+	n.guard.Shutdown()
 	n.pool.Shutdown()
 	n.threads.Wait()
 }
--- a/providers.go
+++ b/providers.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/wasabiport/wasabiport/coordination/callrecord"
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/coordination/picking"
 	"github.com/wasabiport/wasabiport/state"
@@ -73,8 +74,12 @@
 	return platform.NewClient(config.PlatformURL, config.HTTPClient)
 }
 
-func newGuard(config Config, snapshots *state.SnapshotStore) *guard.Guard {
-	return guard.New(config.Self.Name, snapshots, config.Network)
+func newRecords(started incarnation) *callrecord.Records {
+	return callrecord.New(callrecord.Config{Started: time.Unix(0, int64(started))})
+}
+
+func newGuard(config Config, snapshots *state.SnapshotStore, records *callrecord.Records) *guard.Guard {
+	return guard.New(config.Self.Name, snapshots, records, config.Network)
 }
 
 func newPool(config Config, started incarnation, loop *controlloop.Loop, guard *guard.Guard) *peering.Pool {
--- /dev/null
+++ b/transport/guard/gate.go
@@ -0,0 +1,127 @@
+package guard
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiport/wasabiport/coordination/admission"
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/callstream"
+)
+
+// gate is the guard's part for one backend server.
+type gate struct {
+	admission *admission.Gate
+	server    state.BackendServer
+	service   state.Service
+	transport *http.Transport
+}
+
+// handle runs a call once it has a slot. The call gives up its place in the
+// queue when waitCtx ends, and is cancelled when runCtx ends. beforeSend is
+// called before its first byte is written to the backend server.
+func (g *gate) handle(
+	waitCtx, runCtx context.Context,
+	head call.Head,
+	body io.Reader,
+	beforeSend func(),
+) (*callstream.Reply, *state.Refusal) {
+	pass := g.admission.Request(time.Now(), head)
+	select {
+	case <-pass.Decided():
+	case <-waitCtx.Done():
+		g.admission.Abandon(time.Now(), pass)
+		return nil, abandoned(waitCtx.Err())
+	}
+	if refusal := pass.Refusal(); refusal != nil {
+		return nil, refusal
+	}
+	release := func(result admission.Result) { g.admission.ReleaseAfter(time.Now(), pass, result) }
+	reply, refusal := g.run(runCtx, head, body, beforeSend, release)
+	if refusal != nil {
+		release(admission.ResultBroken)
+		return nil, refusal
+	}
+	reply.Head.Load = g.admission.Load()
+	return reply, nil
+}
+
+func abandoned(err error) *state.Refusal {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return state.NotRun(state.RefusedDeadline, "the deadline passed while the call waited for a slot")
+	}
+	return state.NotRun(state.RefusedCanceled, "the caller went away while the call waited for a slot")
+}
+
+// gate returns the gate of a call's backend server.
+func (g *Guard) gate(head call.Head) (*gate, *state.Refusal) {
+	if g.leaving.Load() {
+		return nil, state.NotRun(state.RefusedDraining, "the node is leaving")
+	}
+	snapshot := g.snapshots.Load()
+	if snapshot.Accepted() < head.Ticket {
+		return nil, state.NotRun(state.RefusedBehind, "the guard has an older configuration than the entry node")
+	}
+	server, ok := snapshot.BackendServer(head.BackendServer)
+	if !ok || server.Host != g.host {
+		return nil, state.NotRun(state.RefusedNoBackendServer, "the backend server is not on this host")
+	}
+	service, _ := snapshot.Service(server.Service)
+	gate := g.configured(server, service)
+	if g.leaving.Load() {
+		// Leave may have missed a gate that is new.
+		gate.admission.Drain(time.Now())
+	}
+	return gate, nil
+}
+
+// configured returns the gate of a backend server with the settings in force.
+func (g *Guard) configured(server state.BackendServer, service state.Service) *gate {
+	if current, ok := g.gates.Get(server.Name); ok && current.server == server && current.service == service {
+		return current
+	}
+	var current, replaced *gate
+	g.gates.Update(server.Name, func(existing *gate, present bool) (*gate, bool) {
+		switch {
+		case !present:
+			current = g.newGate(server, service)
+		case existing.server == server && existing.service == service:
+			current = existing
+		default:
+			replaced = existing
+			current = g.changed(existing, server, service)
+		}
+		return current, true
+	})
+	if replaced == nil {
+		return current
+	}
+	current.admission.Configure(time.Now(), server, service)
+	if replaced.transport != current.transport {
+		replaced.transport.CloseIdleConnections()
+	}
+	return current
+}
+
+func (g *Guard) newGate(server state.BackendServer, service state.Service) *gate {
+	return &gate{
+		admission: admission.NewGate(server, service),
+		server:    server,
+		service:   service,
+		transport: g.newTransport(server),
+	}
+}
+
+// changed returns a gate with new settings that shares the slots in use.
+func (g *Guard) changed(old *gate, server state.BackendServer, service state.Service) *gate {
+	next := &gate{admission: old.admission, server: server, service: service, transport: old.transport}
+	if server.Address != old.server.Address || server.Connections != old.server.Connections {
+		next.transport = g.newTransport(server)
+	}
+	return next
+}
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/wasabiport/wasabiport/coordination/admission"
+	"github.com/cockroachdb/errors"
+
 	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/callrecord"
+	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/network"
@@ -22,25 +24,31 @@
 	host      state.HostName
 	network   network.Network
 	snapshots *state.SnapshotStore
+	records   *callrecord.Records
 	gates     *state.ShardedMap[state.BackendServerName, *gate]
 	leaving   atomic.Bool
-}
 
-// gate is the guard's part for one backend server.
-type gate struct {
-	admission *admission.Gate
-	server    state.BackendServer
-	service   state.Service
-	transport *http.Transport
+	// ctx ends with the guard.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // New returns a guard for the backend servers of a host.
-func New(host state.HostName, snapshots *state.SnapshotStore, network network.Network) *Guard {
+func New(
+	host state.HostName,
+	snapshots *state.SnapshotStore,
+	records *callrecord.Records,
+	network network.Network,
+) *Guard {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Guard{
 		host:      host,
 		network:   network,
 		snapshots: snapshots,
+		records:   records,
 		gates:     state.NewShardedMap[state.BackendServerName, *gate](state.DefaultShardCount),
+		ctx:       ctx,
+		cancel:    cancel,
 	}
 }
 
@@ -51,24 +59,10 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	pass := gate.admission.Request(time.Now(), head)
-	select {
-	case <-pass.Decided():
-	case <-ctx.Done():
-		gate.admission.Abandon(time.Now(), pass)
-		return nil, state.NotRun(state.RefusedDeadline, "the call ended while it waited for a slot")
+	if retry.Keyed(head) {
+		return g.handleKeyed(ctx, gate, head, body)
 	}
-	if refusal := pass.Refusal(); refusal != nil {
-		return nil, refusal
-	}
-	release := func() { gate.admission.Release(time.Now(), pass) }
-	reply, refusal := gate.run(ctx, head, body, release)
-	if refusal != nil {
-		release()
-		return nil, refusal
-	}
-	reply.Head.Load = gate.admission.Load()
-	return reply, nil
+	return gate.handle(ctx, ctx, head, body, func() {})
 }
 
 // Load returns the load hint of a backend server.
@@ -80,56 +74,40 @@
 	return gate.admission.Load()
 }
 
-// Leave refuses all new calls from now on.
-func (g *Guard) Leave() { g.leaving.Store(true) }
-
-func (g *Guard) gate(head call.Head) (*gate, *state.Refusal) {
-	if g.leaving.Load() {
-		return nil, state.NotRun(state.RefusedDraining, "the node is leaving")
-	}
-	snapshot := g.snapshots.Load()
-	if snapshot.Accepted() < head.Ticket {
-		return nil, state.NotRun(state.RefusedBehind, "the guard has an older configuration than the entry node")
-	}
-	server, ok := snapshot.BackendServer(head.BackendServer)
-	if !ok || server.Host != g.host {
-		return nil, state.NotRun(state.RefusedNoBackendServer, "the backend server is not on this host")
-	}
-	service, _ := snapshot.Service(server.Service)
-	return g.configured(server, service), nil
-}
-
-// configured returns the gate of a backend server with the settings in force.
-func (g *Guard) configured(server state.BackendServer, service state.Service) *gate {
-	var current *gate
-	g.gates.Update(server.Name, func(existing *gate, present bool) (*gate, bool) {
-		switch {
-		case !present:
-			existing = g.newGate(server, service)
-		case existing.server != server || existing.service != service:
-			existing = g.changed(existing, server, service)
-		}
-		current = existing
-		return existing, true
+// Leave refuses all waiting and new calls from now on. Calls that run finish.
+func (g *Guard) Leave() {
+	g.leaving.Store(true)
+	g.gates.Range(func(_ state.BackendServerName, gate *gate) bool {
+		gate.admission.Drain(time.Now())
+		return true
 	})
-	return current
 }
 
-func (g *Guard) newGate(server state.BackendServer, service state.Service) *gate {
-	return &gate{
-		admission: admission.NewGate(server, service),
-		server:    server,
-		service:   service,
-		transport: g.newTransport(server),
+// AwaitDrained waits after Leave until no call runs any more. It returns the
+// context's error when ctx ends first.
+func (g *Guard) AwaitDrained(ctx context.Context) error {
+	var gates []*gate
+	g.gates.Range(func(_ state.BackendServerName, gate *gate) bool {
+		gates = append(gates, gate)
+		return true
+	})
+	for _, gate := range gates {
+		select {
+		case <-gate.admission.Drained():
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "finish the calls of %s", gate.server.Name)
+		}
 	}
+	return nil
 }
 
-// changed returns a gate with new settings that shares the slots in use.
-func (g *Guard) changed(old *gate, server state.BackendServer, service state.Service) *gate {
-	old.admission.Configure(time.Now(), server, service)
-	next := &gate{admission: old.admission, server: server, service: service, transport: old.transport}
-	if server.Address != old.server.Address || server.Connections != old.server.Connections {
-		next.transport = g.newTransport(server)
-	}
-	return next
+// Shutdown cuts the calls that run and closes the connections to the backend
+// servers.
+func (g *Guard) Shutdown() {
+	g.Leave()
+	g.cancel()
+	g.gates.Range(func(_ state.BackendServerName, gate *gate) bool {
+		gate.transport.CloseIdleConnections()
+		return true
+	})
 }
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/callrecord"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/guard"
@@ -41,7 +42,8 @@
 	snapshots := state.NewSnapshotStore(1)
 	require.True(t, snapshots.Swap(builder.Build(1, 1)))
 	memory := network.NewMemory()
-	return &rig{t: t, network: memory, guard: guard.New("host-0", snapshots, memory)}
+	records := callrecord.New(callrecord.Config{Started: time.Now().Add(-time.Hour)})
+	return &rig{t: t, network: memory, guard: guard.New("host-0", snapshots, records, memory)}
 }
 
 // serve answers each connection to the backend server with handle.
@@ -194,3 +196,74 @@
 		})
 	})
 }
+
+// answerSlowly answers each request after a second and counts them.
+func answerSlowly(received *atomic.Int32) func(net.Conn) {
+	return func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			received.Add(1)
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(conn, "HTTP/1.1 201 Created\r\nContent-Length: 6\r\n\r\nbooked")
+		}
+	}
+}
+
+func TestResendWithAKeyGetsTheAnswerOfTheOnlyRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 10)
+		defer r.guard.Shutdown()
+		var received atomic.Int32
+		r.serve(answerSlowly(&received))
+		ctx, leave := context.WithCancel(t.Context())
+		gone := make(chan struct{})
+		go func() {
+			defer close(gone)
+			reply, refusal := r.doWith(ctx, http.MethodPost, "booking-7", nil)
+			if refusal == nil {
+				_ = reply.Body.Close()
+			}
+		}()
+		time.Sleep(50 * time.Millisecond)
+		leave()
+		for range 2 {
+			reply, refusal := r.do(http.MethodPost, "booking-7")
+			require.Nil(t, refusal)
+			require.Equal(t, http.StatusCreated, reply.Head.Status)
+			body, err := io.ReadAll(reply.Body)
+			require.NoError(t, err)
+			require.Equal(t, "booked", string(body))
+		}
+		<-gone
+		require.EqualValues(t, 1, received.Load())
+	})
+}
+
+func TestLeaveFinishesTheCallsThatRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 10)
+		defer r.guard.Shutdown()
+		var received atomic.Int32
+		r.serve(answerSlowly(&received))
+		running := make(chan *callstream.Reply, 1)
+		go func() {
+			reply, _ := r.do(http.MethodPost, "")
+			running <- reply
+		}()
+		time.Sleep(50 * time.Millisecond)
+		r.guard.Leave()
+		_, refusal := r.do(http.MethodPost, "")
+		require.Equal(t, state.RefusedDraining, refusal.Reason)
+		require.Equal(t, state.OutcomeNotRun, refusal.Outcome)
+		drained := make(chan error, 1)
+		go func() { drained <- r.guard.AwaitDrained(t.Context()) }()
+		reply := <-running
+		synctest.Wait()
+		require.Empty(t, drained, "drained before the body was read")
+		r.finish(reply, nil)
+		require.NoError(t, <-drained)
+	})
+}
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -6,10 +6,11 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wasabiport/wasabiport/coordination/admission"
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
@@ -37,10 +38,11 @@
 	ctx context.Context,
 	head call.Head,
 	body io.Reader,
-	release func(),
+	beforeSend func(),
+	release func(admission.Result),
 ) (*callstream.Reply, *state.Refusal) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	delivery := &delivery{repeatable: head.Idempotent, cancel: cancel, beforeSend: func() {}}
+	delivery := &delivery{repeatable: head.Idempotent, cancel: cancel, beforeSend: beforeSend}
 	request, err := newRequest(httptrace.WithClientTrace(ctx, delivery.trace()), g.server, head, body)
 	if err != nil {
 		cancel(err)
@@ -52,21 +54,10 @@
 		cancel(err)
 		return nil, refusal
 	}
-	done := func() {
+	return newReply(head.ID, response, func(result admission.Result) {
 		cancel(nil)
-		release()
-	}
-	reply := &callstream.Reply{
-		Head: call.ReplyHead{
-			ID:            head.ID,
-			Status:        response.StatusCode,
-			Fields:        httpmap.Fields(response.Header),
-			ContentLength: response.ContentLength,
-		},
-		Body:     &releasingBody{ReadCloser: response.Body, release: done},
-		Trailers: func() []call.Field { return httpmap.Fields(response.Trailer) },
-	}
-	return reply, nil
+		release(result)
+	}), nil
 }
 
 func newRequest(
@@ -87,6 +78,7 @@
 	httpmap.SetFields(request.Header, head.Fields)
 	request.Header.Set(httpmap.HeaderCallID, string(head.ID))
 	request.Header.Set(httpmap.HeaderCaller, string(head.Caller))
+	request.Header.Set(httpmap.HeaderTimeout, httpmap.FormatTimeout(time.Until(head.Deadline)))
 	return request, nil
 }
 
@@ -112,16 +104,3 @@
 	}
 	return refusal
 }
-
-// releasingBody gives the slot back when the body is closed.
-type releasingBody struct {
-	io.ReadCloser
-	release func()
-	once    sync.Once
-}
-
-func (b *releasingBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.once.Do(b.release)
-	return err
-}
--- a/wire.go
+++ b/wire.go
@@ -22,6 +22,7 @@
 	newPlane,
 	newPicker,
 	newSource,
+	newRecords,
 	newGuard,
 	newPool,
 	newEntry,
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -25,7 +25,8 @@
 	snapshotStore := newSnapshotStore()
 	wasabiportIncarnation := newIncarnation()
 	plane := newPlane(config, wasabiportIncarnation, snapshotStore)
-	guard := newGuard(config, snapshotStore)
+	records := newRecords(wasabiportIncarnation)
+	guard := newGuard(config, snapshotStore, records)
 	client := newSource(config)
 	loop := controlloop.New(plane, client)
 	pool := newPool(config, wasabiportIncarnation, loop, guard)
@@ -48,6 +49,7 @@
 	newPlane,
 	newPicker,
 	newSource,
+	newRecords,
 	newGuard,
 	newPool,
 	newEntry,
