Quarantine requests that crash backend servers

A request that crashes its backend server crashed the next one too each time it was sent again or retried.

Requests in flight at a crash become suspects and run alone; one that the backend server survives is cleared, one that crashes it alone is quarantined. Only a crash alone proves the cause, so that an innocent request in flight at two crashes is not refused. Guards tell each other with notices that last for a remaining time; a retry says itself that it is suspect, as it may overtake the notice. A quarantine ends in probation after a stated time. Fingerprints don't depend on the caller.

--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -30,6 +30,9 @@
 	// means that any time before Deadline will do.
 	Wanted      time.Time
 	Fingerprint state.Fingerprint
+	// Suspect says that an earlier attempt of the call was in flight when a
+	// backend server crashed.
+	Suspect bool
 	// IdempotencyKey is empty when the caller gave none.
 	IdempotencyKey string
 	// Idempotent says that running the call twice does no harm.
--- /dev/null
+++ b/coordination/quarantine/config.go
@@ -0,0 +1,44 @@
+// Package quarantine recognizes requests that crash backend servers.
+//
+// The requests in flight at a crash become suspects. A suspect runs alone: it
+// is cleared when the backend server survives it, and quarantined when it
+// crashes the backend server again. Guards of an availability zone tell each
+// other.
+package quarantine
+
+import "time"
+
+// Defaults of Config.
+const (
+	DefaultSuspectFor      = 10 * time.Minute
+	DefaultQuarantineFor   = 10 * time.Minute
+	DefaultMaxFingerprints = 4096
+)
+
+// maxNotices bounds the notices in one message.
+const maxNotices = 256
+
+// Config holds the settings of Suspects.
+type Config struct {
+	// SuspectFor is how long a suspect that does not come again is remembered.
+	// Default 10 minutes.
+	SuspectFor time.Duration
+	// QuarantineFor is how long a quarantined request is refused. Then it is a
+	// suspect again. Default 10 minutes.
+	QuarantineFor time.Duration
+	// MaxFingerprints bounds the requests that are remembered. Default 4096.
+	MaxFingerprints int
+}
+
+func (c Config) withDefaults() Config {
+	if c.SuspectFor == 0 {
+		c.SuspectFor = DefaultSuspectFor
+	}
+	if c.QuarantineFor == 0 {
+		c.QuarantineFor = DefaultQuarantineFor
+	}
+	if c.MaxFingerprints == 0 {
+		c.MaxFingerprints = DefaultMaxFingerprints
+	}
+	return c
+}
--- /dev/null
+++ b/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,131 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/quarantine"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+const (
+	poison   state.Fingerprint = 1
+	innocent state.Fingerprint = 2
+	stranger state.Fingerprint = 3
+)
+
+var epoch = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func newSuspects() *quarantine.Suspects { return quarantine.NewSuspects(quarantine.Config{}) }
+
+// crashTwice lets poison crash a backend server with innocent in flight, and
+// then alone.
+func crashTwice(suspects *quarantine.Suspects) []quarantine.Notice {
+	first := suspects.Crashed(epoch, []state.Fingerprint{poison, innocent})
+	return append(first, suspects.Crashed(epoch, []state.Fingerprint{poison})...)
+}
+
+func requireAlone(t *testing.T, suspects *quarantine.Suspects, now time.Time, fingerprint state.Fingerprint, want bool) {
+	t.Helper()
+	alone, refusal := suspects.Check(now, fingerprint)
+	require.Nil(t, refusal)
+	require.Equal(t, want, alone)
+}
+
+func requireQuarantined(t *testing.T, suspects *quarantine.Suspects, now time.Time, fingerprint state.Fingerprint) {
+	t.Helper()
+	_, refusal := suspects.Check(now, fingerprint)
+	require.NotNil(t, refusal)
+	require.Equal(t, state.RefusedQuarantined, refusal.Reason)
+	require.Equal(t, state.OutcomeNotRun, refusal.Outcome)
+	require.Positive(t, refusal.RetryAfter)
+}
+
+func TestRequestsInFlightAtACrashRunAlone(t *testing.T) {
+	suspects := newSuspects()
+	suspects.Crashed(epoch, []state.Fingerprint{poison, innocent})
+	requireAlone(t, suspects, epoch, poison, true)
+	requireAlone(t, suspects, epoch, innocent, true)
+	requireAlone(t, suspects, epoch, stranger, false)
+}
+
+func TestSecondCrashAloneQuarantines(t *testing.T) {
+	suspects := newSuspects()
+	crashTwice(suspects)
+	requireQuarantined(t, suspects, epoch, poison)
+	requireAlone(t, suspects, epoch, innocent, true)
+	suspects.Survived(epoch, innocent)
+	requireAlone(t, suspects, epoch, innocent, false)
+}
+
+func TestInnocentInFlightAtTwoCrashesIsNotQuarantined(t *testing.T) {
+	suspects := newSuspects()
+	suspects.Crashed(epoch, []state.Fingerprint{poison, innocent})
+	suspects.Crashed(epoch, []state.Fingerprint{poison, innocent})
+	requireAlone(t, suspects, epoch, innocent, true)
+	suspects.Survived(epoch, innocent)
+	suspects.Crashed(epoch, []state.Fingerprint{innocent})
+	requireAlone(t, suspects, epoch, innocent, true)
+}
+
+func TestQuarantineEndsInProbation(t *testing.T) {
+	suspects := newSuspects()
+	crashTwice(suspects)
+	released := epoch.Add(quarantine.DefaultQuarantineFor)
+	requireQuarantined(t, suspects, released.Add(-1), poison)
+	requireAlone(t, suspects, released, poison, true)
+	suspects.Crashed(released, []state.Fingerprint{poison})
+	requireQuarantined(t, suspects, released, poison)
+
+	suspects.Survived(released.Add(quarantine.DefaultQuarantineFor), poison)
+	requireAlone(t, suspects, released.Add(quarantine.DefaultQuarantineFor), poison, false)
+}
+
+func TestNoticesReachTheOtherGuards(t *testing.T) {
+	guard, other, late := newSuspects(), newSuspects(), newSuspects()
+	notices := crashTwice(guard)
+	other.Learn(epoch, notices)
+	requireQuarantined(t, other, epoch, poison)
+	requireAlone(t, other, epoch, innocent, true)
+	late.Learn(epoch, guard.Notices(epoch))
+	requireQuarantined(t, late, epoch, poison)
+
+	other.Survived(epoch, innocent)
+	other.Learn(epoch, notices)
+	requireAlone(t, other, epoch, innocent, false)
+
+	// Notices that go round between guards don't prolong a quarantine.
+	half := epoch.Add(quarantine.DefaultQuarantineFor / 2)
+	guard.Learn(half, other.Notices(half))
+	other.Learn(half, guard.Notices(half))
+	requireAlone(t, guard, epoch.Add(quarantine.DefaultQuarantineFor), poison, true)
+
+	forged := quarantine.Notice{Fingerprint: stranger, Phase: quarantine.PhaseQuarantined, Remaining: 1000 * time.Hour}
+	other.Learn(epoch, []quarantine.Notice{forged, {Fingerprint: stranger, Phase: 9, Remaining: time.Hour}})
+	requireAlone(t, other, epoch.Add(quarantine.DefaultQuarantineFor), stranger, true)
+}
+
+func TestRetryThatOvertakesTheNoticeIsQuarantinedAtItsSecondCrash(t *testing.T) {
+	second := newSuspects()
+	second.Suspect(epoch, poison)
+	requireAlone(t, second, epoch, poison, true)
+	second.Crashed(epoch, []state.Fingerprint{poison})
+	requireQuarantined(t, second, epoch, poison)
+}
+
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	fingerprint := call.FingerprintOf("imaging", "POST", "/scans?eye=left", []byte("scan"))
+	require.Equal(t, fingerprint, call.FingerprintOf("imaging", "POST", "/scans?eye=left", []byte("scan")))
+	others := []state.Fingerprint{
+		call.FingerprintOf("booking", "POST", "/scans?eye=left", []byte("scan")),
+		call.FingerprintOf("imaging", "PUT", "/scans?eye=left", []byte("scan")),
+		call.FingerprintOf("imaging", "POST", "/scans?eye=right", []byte("scan")),
+		call.FingerprintOf("imaging", "POST", "/scans?eye=lef", []byte("tscan")),
+	}
+	require.NotContains(t, others, fingerprint)
+	long := make([]byte, call.MaxFingerprintBytes)
+	require.Equal(t, call.FingerprintOf("s", "POST", "/", long), call.FingerprintOf("s", "POST", "/", append(long, 1)))
+}
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -54,6 +54,9 @@
 	Action Action
 	// Delay is how long to wait before the next attempt.
 	Delay time.Duration
+	// Suspect says that the next attempt must carry call.Head.Suspect: the
+	// last one may have crashed its backend server.
+	Suspect bool
 	// Refusal is true for the whole call, not just for its last attempt. Set
 	// for ActionAnswer.
 	Refusal *state.Refusal
@@ -97,7 +100,8 @@
 	if !now.Add(delay).Before(head.Deadline) || !p.budget.Spend() {
 		return answer(head, refusal)
 	}
-	return Decision{Action: action, Delay: delay}
+	suspect := head.Suspect || refusal.Reason == state.RefusedBackendServerFailed
+	return Decision{Action: action, Delay: delay, Suspect: suspect}
 }
 
 func (p *Policy) delay(attempts int) time.Duration {
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -79,6 +79,9 @@
 		t.Run(name, func(t *testing.T) {
 			decision := newPolicy(retry.BudgetConfig{}).Decide(now, test.head, test.refusal, test.attempts)
 			require.Equal(t, test.action, decision.Action)
+			if test.action != retry.ActionAnswer {
+				require.Equal(t, test.refusal.Reason == state.RefusedBackendServerFailed, decision.Suspect)
+			}
 			if test.action == retry.ActionAnswer {
 				require.Equal(t, test.outcome, decision.Refusal.Outcome)
 				require.Equal(t, test.refusal.Reason, decision.Refusal.Reason)
