Empty the pools before a test with virtual time

yamux keeps timers in a sync.Pool of the process. A timer that one synctest bubble put there can't be used in the next one: go test -count=3 of the root package ended with 'select on synctest channel from outside bubble'. virtualtime.Test collects twice before it starts a bubble, which empties the pools; -count=20 passes.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -6,13 +6,13 @@
 	"net"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabiport/wasabiport"
 	"github.com/wasabiport/wasabiport/internal/standin"
+	"github.com/wasabiport/wasabiport/internal/virtualtime"
 	"github.com/wasabiport/wasabiport/protocol/ticketfile"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/network"
@@ -141,7 +141,7 @@
 }
 
 func TestTicketReachesEveryNodeAndCallsAreServed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6)
 		defer f.stop()
 		f.fileTicket(f.deskTicket(1))
