Carry out the whole plane: trees, host list, leaving, events

The loop still read the host list on every node by itself, and did not know that read times move, that a node leaves or that the plane reports events. Each reading thread now waits for the time that the plane names and asks again after every call to it. Leaving is announced, readiness is the plane's decision, and verdicts and events are logged with numbers.

The platform's client refuses redirects and answers that are too large, and passes on when a throttled reader is to come back; reads wait at least that long. Both tests of the loop fail when the delay is ignored or when each failure is logged.

--- a/cmd/wasabiport/node.go
+++ b/cmd/wasabiport/node.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return asUsageError(err)
 	}
-	node, err := wasabiport.Create(command.Context(), nodeConfig(loaded))
+	node, err := wasabiport.Create(command.Context(), nodeConfig(loaded, logger))
 	if err != nil {
 		return err
 	}
@@ -75,8 +75,9 @@
 	return err
 }
 
-func nodeConfig(loaded settings.Node) wasabiport.Config {
+func nodeConfig(loaded settings.Node, logger logr.Logger) wasabiport.Config {
 	config := wasabiport.DefaultConfig()
+	config.Logger = logger
 	config.Self = state.Host{
 		Name:        state.HostName(loaded.Host),
 		Zone:        state.AvailabilityZone(loaded.Zone),
--- a/config.go
+++ b/config.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/network"
 )
@@ -44,6 +46,8 @@
 	Network network.Network
 	// HTTPClient reads the platform. Default http.DefaultClient.
 	HTTPClient *http.Client
+	// Logger takes the events of the node. Default none.
+	Logger logr.Logger
 }
 
 // DefaultConfig returns the settings for a fleet in a few regions.
--- a/node.go
+++ b/node.go
@@ -21,8 +21,8 @@
 	"github.com/wasabiport/wasabiport/transport/peering"
 )
 
-// ErrNotReady means that the node does not know any configuration yet.
-var ErrNotReady = errors.New("no configuration is known yet")
+// ErrNotReady means that the node does not answer callers yet.
+var ErrNotReady = errors.New("not ready for callers")
 
 // readHeaderTimeout bounds the time in which a caller sends its headers.
 const readHeaderTimeout = 5 * time.Second
@@ -93,8 +93,8 @@
 
 // Ready returns nil when the node serves callers.
 func (n *Node) Ready() error {
-	if n.plane.Head().Accepted == 0 {
-		return ErrNotReady
+	if ready, reason := n.plane.Ready(time.Now()); !ready {
+		return errors.Wrap(ErrNotReady, reason)
 	}
 	return nil
 }
@@ -126,6 +126,7 @@
 // and returns the context's error.
 func (n *Node) Leave(ctx context.Context) error {
 	n.guard.Leave()
+	n.loop.Leave()
 	err := n.callers.Shutdown(ctx)
 	n.Shutdown()
 	return errors.Wrap(err, "finish calls")
--- a/providers.go
+++ b/providers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -74,6 +75,8 @@
 	return platform.NewClient(config.PlatformURL, config.HTTPClient)
 }
 
+func newLogger(config Config) logr.Logger { return config.Logger }
+
 func newRecords(started incarnation) *callrecord.Records {
 	return callrecord.New(callrecord.Config{Started: time.Unix(0, int64(started))})
 }
--- /dev/null
+++ b/transport/controlloop/logging.go
@@ -0,0 +1,54 @@
+package controlloop
+
+import (
+	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/events"
+)
+
+func (l *Loop) logOutput(output control.Output) {
+	for _, verdict := range output.Verdicts {
+		events.Log(l.logger, verdictEvent(verdict))
+	}
+	for _, event := range output.Events {
+		if logged := eventOf(event); logged != nil {
+			events.Log(l.logger, logged)
+		}
+	}
+}
+
+func verdictEvent(verdict state.Verdict) events.Event {
+	if verdict.Accepted() {
+		return events.TicketAccepted{Ticket: verdict.Number}
+	}
+	return events.TicketRejected{
+		Ticket: verdict.Number,
+		Faults: len(verdict.Faults),
+		Path:   verdict.Faults[0].Path,
+		Reason: verdict.Faults[0].Reason,
+	}
+}
+
+// eventOf returns the logged form of an event of the plane.
+func eventOf(event control.Event) events.Event {
+	switch event := event.(type) {
+	case control.TicketGap:
+		return events.TicketGap{Judged: event.Judged, Next: event.Next}
+	case control.DigestDiverged:
+		return events.DigestDiverged{Peer: event.Peer, Ticket: event.Head.Judged, Digest: event.Head.Digest, Own: event.Own.Digest}
+	case control.SnapshotTaken:
+		return events.SnapshotTaken{Peer: event.Peer, Ticket: event.Head.Judged}
+	case control.SnapshotRefused:
+		return events.SnapshotRefused{Peer: event.Peer, Faults: len(event.Faults)}
+	case control.HostPhaseChanged:
+		return events.HostPhaseChanged{Host: event.Host, Phase: event.Phase}
+	case control.ParentReplaced:
+		return events.ParentReplaced{Parent: event.Parent}
+	case control.Resumed:
+		return events.NodePaused{Late: event.Late}
+	case control.SourceAnsweredOld:
+		return events.SourceAnsweredOld{}
+	default:
+		return nil
+	}
+}
--- a/transport/controlloop/loop.go
+++ b/transport/controlloop/loop.go
@@ -1,5 +1,5 @@
 // Package controlloop runs the threads that carry out what package control
-// decides: one reads the source, one reads the host list, one wakes the plane
+// decides: one reads the tickets, one reads the host list, one wakes the plane
 // when something is due, and one per wanted peer keeps a session.
 package controlloop
 
@@ -8,18 +8,14 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/state"
 )
 
-// Settings of the loop.
-const (
-	// watchWait is how long the source may hold a watch.
-	watchWait = 25 * time.Second
-	// hostListRetryInterval is the time between two reads of a host list
-	// that can't be had.
-	hostListRetryInterval = time.Second
-)
+// watchWait is how long the source may hold a watch.
+const watchWait = 25 * time.Second
 
 // Source reads from the platform.
 type Source interface {
@@ -42,9 +38,14 @@
 type Loop struct {
 	plane  *control.Plane
 	source Source
+	logger logr.Logger
 	peers  Peers
-	// woken tells the tick thread that something may be due earlier.
-	woken   chan struct{}
+	// Each thread that waits for a time which the plane may change has a
+	// channel of its own that wakes it.
+	tickWoken    chan struct{}
+	ticketsWoken chan struct{}
+	hostsWoken   chan struct{}
+
 	kept    map[state.HostName]keeping
 	threads sync.WaitGroup
 	cancel  context.CancelFunc
@@ -56,13 +57,16 @@
 	cancel  context.CancelFunc
 }
 
-// New returns a loop that is not running.
-func New(plane *control.Plane, source Source) *Loop {
+// New returns a loop that is not running. Events go to logger.
+func New(plane *control.Plane, source Source, logger logr.Logger) *Loop {
 	return &Loop{
-		plane:  plane,
-		source: source,
-		woken:  make(chan struct{}, 1),
-		kept:   make(map[state.HostName]keeping),
+		plane:        plane,
+		source:       source,
+		logger:       logger,
+		tickWoken:    make(chan struct{}, 1),
+		ticketsWoken: make(chan struct{}, 1),
+		hostsWoken:   make(chan struct{}, 1),
+		kept:         make(map[state.HostName]keeping),
 	}
 }
 
@@ -76,6 +80,9 @@
 	l.threads.Go(func() { l.tick(ctx) })
 }
 
+// Leave announces to the peers that this node takes no more work.
+func (l *Loop) Leave() { l.carryOut(l.plane.Leave(time.Now())) }
+
 // Shutdown ends the threads and waits for them.
 func (l *Loop) Shutdown() {
 	l.cancel()
@@ -87,89 +94,50 @@
 	l.carryOut(l.plane.Receive(time.Now(), from, message))
 }
 
-// Connected tells that messages to a peer can be sent.
+// Connected tells that messages to a peer can be sent over one more session.
 func (l *Loop) Connected(host state.HostName) {
 	l.carryOut(l.plane.Connected(time.Now(), host))
 }
 
-// Disconnected tells that messages to a peer can't be sent any more.
+// Disconnected tells that a session to a peer has ended.
 func (l *Loop) Disconnected(host state.HostName) {
 	l.carryOut(l.plane.Disconnected(time.Now(), host))
 }
 
+// carryOut does what the plane has asked for, and wakes the threads whose
+// times may have changed.
 func (l *Loop) carryOut(output control.Output) {
+	l.deliver(output)
+	wake(l.tickWoken)
+	wake(l.ticketsWoken)
+	wake(l.hostsWoken)
+}
+
+func (l *Loop) deliver(output control.Output) {
 	for _, send := range output.Sends {
 		// A message that can't be sent is made up for by digest repair.
 		_ = l.peers.Send(send.To, send.Message)
 	}
-	l.wake()
+	l.logOutput(output)
 }
 
-func (l *Loop) wake() {
+func wake(woken chan<- struct{}) {
 	select {
-	case l.woken <- struct{}{}:
+	case woken <- struct{}{}:
 	default:
 	}
 }
 
-func (l *Loop) readTickets(ctx context.Context) {
-	for {
-		read := l.plane.NextSourceRead(time.Now())
-		if !sleepUntil(ctx, read.At) {
-			return
-		}
-		var wait time.Duration
-		if read.Watch {
-			wait = watchWait
-		}
-		tickets, err := l.source.Tickets(ctx, read.After, wait)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			l.carryOut(l.plane.SourceFailed(time.Now()))
-			continue
-		}
-		l.carryOut(l.plane.SourceAnswered(time.Now(), tickets))
-	}
-}
-
-func (l *Loop) readHosts(ctx context.Context) {
-	var version uint64
-	for {
-		list, err := l.source.Hosts(ctx, version, watchWait)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			if !sleepUntil(ctx, time.Now().Add(hostListRetryInterval)) {
-				return
-			}
-			continue
-		}
-		if list.Version > version {
-			version = list.Version
-			l.carryOut(l.plane.HostListAnswered(time.Now(), list))
-		}
-	}
-}
-
 func (l *Loop) tick(ctx context.Context) {
 	for {
 		output, next := l.plane.Tick(time.Now())
 		l.keepWanted(ctx)
-		for _, send := range output.Sends {
-			_ = l.peers.Send(send.To, send.Message)
-		}
-		timer := time.NewTimer(time.Until(next))
-		select {
-		case <-timer.C:
-		case <-l.woken:
-		case <-ctx.Done():
-			timer.Stop()
+		l.deliver(output)
+		wake(l.ticketsWoken)
+		wake(l.hostsWoken)
+		if waitUntil(ctx, next, l.tickWoken) == ended {
 			return
 		}
-		timer.Stop()
 	}
 }
 
@@ -198,13 +166,25 @@
 	}
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
+// waited is why a wait is over.
+type waited uint8
+
+const (
+	due waited = iota
+	woken
+	ended
+)
+
+// waitUntil waits for a time, for a wake-up or for the end of ctx.
+func waitUntil(ctx context.Context, at time.Time, wakeUps <-chan struct{}) waited {
 	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		return due
+	case <-wakeUps:
+		return woken
 	case <-ctx.Done():
-		return false
+		return ended
 	}
 }
--- /dev/null
+++ b/transport/controlloop/loop_test.go
@@ -0,0 +1,108 @@
+package controlloop_test
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/controlloop"
+	"github.com/wasabiport/wasabiport/transport/events"
+	"github.com/wasabiport/wasabiport/transport/platform"
+)
+
+// failingSource fails every read with err and notes the times of the reads.
+type failingSource struct {
+	mu    sync.Mutex
+	err   error
+	reads []time.Time
+}
+
+func (s *failingSource) Tickets(context.Context, state.TicketNumber, time.Duration) ([]state.Ticket, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads = append(s.reads, time.Now())
+	return nil, s.err
+}
+
+func (s *failingSource) Hosts(context.Context, uint64, time.Duration) (state.HostList, error) {
+	return state.HostList{}, s.err
+}
+
+// notedPeers notes what is sent.
+type notedPeers struct {
+	mu   sync.Mutex
+	sent []control.Message
+}
+
+func (p *notedPeers) Send(_ state.HostName, message control.Message) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent = append(p.sent, message)
+	return nil
+}
+
+func (p *notedPeers) Keep(ctx context.Context, _ state.Host) { <-ctx.Done() }
+
+func startLoop(t *testing.T, source controlloop.Source) (*controlloop.Loop, *notedPeers, *bytes.Buffer) {
+	plane := control.NewPlane(
+		control.Config{Self: state.Host{Name: "self", Zone: "north"}, Incarnation: 1},
+		state.NewSnapshotStore(1), rand.New(rand.NewPCG(1, 1)))
+	var log bytes.Buffer
+	logger, err := events.NewLogger(&log, events.FormatText, events.LevelInfo)
+	require.NoError(t, err)
+	loop, peers := controlloop.New(plane, source, logger), &notedPeers{}
+	loop.Start(peers)
+	return loop, peers, &log
+}
+
+func TestFailingSourceIsReadRarelyAndLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &failingSource{err: errors.New("refused")}
+		loop, _, log := startLoop(t, source)
+		time.Sleep(10 * time.Minute)
+		loop.Shutdown()
+		require.Greater(t, len(source.reads), 10)
+		require.Less(t, len(source.reads), 100, "at most one read in 30 s once the backoff has grown")
+		require.Equal(t, 2, strings.Count(log.String(), "source-failed"), "tickets and host list")
+	})
+}
+
+func TestThrottledSourceIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		throttled := &platform.ThrottledError{Status: "429", Delay: time.Minute}
+		source := &failingSource{err: errors.Wrap(throttled, "read")}
+		loop, _, _ := startLoop(t, source)
+		time.Sleep(20 * time.Minute)
+		loop.Shutdown()
+		require.Greater(t, len(source.reads), 2)
+		for i := range source.reads[1:] {
+			require.GreaterOrEqual(t, source.reads[i+1].Sub(source.reads[i]), time.Minute)
+		}
+	})
+}
+
+func TestLeavingIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		loop, peers, _ := startLoop(t, &failingSource{err: errors.New("refused")})
+		loop.Connected("peer")
+		loop.Leave()
+		loop.Shutdown()
+		var said []state.HostPhase
+		for _, message := range peers.sent {
+			if sightings, ok := message.(control.Sightings); ok {
+				said = append(said, sightings.Sightings[0].Phase)
+			}
+		}
+		require.Equal(t, []state.HostPhase{state.HostLeaving}, said)
+	})
+}
--- /dev/null
+++ b/transport/events/distribution.go
@@ -0,0 +1,79 @@
+package events
+
+import "github.com/wasabiport/wasabiport/state"
+
+// TicketGap is logged when tickets wait for ones that are missing.
+type TicketGap struct {
+	Judged state.TicketNumber `event:"judged"`
+	Next   state.TicketNumber `event:"next"`
+}
+
+// Kind returns the description of the event.
+func (TicketGap) Kind() Kind {
+	return Kind{203, LevelInfo, "ticket-gap", "Tickets from next on are held, but those between judged and next are missing. The node asks for them."}
+}
+
+// SnapshotTaken is logged when a peer's whole configuration is put in force.
+type SnapshotTaken struct {
+	Peer   state.HostName     `event:"peer"`
+	Ticket state.TicketNumber `event:"ticket"`
+}
+
+// Kind returns the description of the event.
+func (SnapshotTaken) Kind() Kind {
+	return Kind{204, LevelInfo, "snapshot-taken", "The whole configuration of the peer is in force on this node, up to the ticket."}
+}
+
+// SnapshotRefused is logged when a peer's whole configuration can't be used.
+type SnapshotRefused struct {
+	Peer   state.HostName `event:"peer"`
+	Faults int            `event:"faults"`
+}
+
+// Kind returns the description of the event.
+func (SnapshotRefused) Kind() Kind {
+	return Kind{205, LevelError, "snapshot-refused", "The configuration that the peer has sent is not consistent or does not have its digest. Nothing of it is used."}
+}
+
+// DigestDiverged is logged when a peer has another configuration after the
+// same tickets.
+type DigestDiverged struct {
+	Peer   state.HostName     `event:"peer"`
+	Ticket state.TicketNumber `event:"ticket"`
+	Digest state.Digest       `event:"digest"`
+	Own    state.Digest       `event:"own"`
+}
+
+// Kind returns the description of the event.
+func (DigestDiverged) Kind() Kind {
+	return Kind{206, LevelError, "digest-diverged", "The peer has another configuration after the same ticket. One of the two nodes has a fault."}
+}
+
+// SourceAnsweredOld is logged when the platform answers with old values.
+type SourceAnsweredOld struct{}
+
+// Kind returns the description of the event.
+func (SourceAnsweredOld) Kind() Kind {
+	return Kind{304, LevelInfo, "source-answered-old", "The platform has answered with older values than were asked for. The node keeps what it has."}
+}
+
+// HostPhaseChanged is logged when a host is seen in another phase.
+type HostPhaseChanged struct {
+	Host  state.HostName  `event:"host"`
+	Phase state.HostPhase `event:"phase"`
+}
+
+// Kind returns the description of the event.
+func (HostPhaseChanged) Kind() Kind {
+	return Kind{404, LevelDebug, "host-phase-changed", "The host is seen in another phase, by this node or by a peer."}
+}
+
+// ParentReplaced is logged when a parent in a tree is replaced.
+type ParentReplaced struct {
+	Parent state.HostName `event:"parent"`
+}
+
+// Kind returns the description of the event.
+func (ParentReplaced) Kind() Kind {
+	return Kind{405, LevelInfo, "parent-replaced", "The parent was silent or out of reach, so another host passes tickets on to this node."}
+}
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -26,6 +26,9 @@
 	ticketsPerRead = 256
 	// readTimeout bounds a read, beyond the time for which a watch waits.
 	readTimeout = 5 * time.Second
+	// maxRetryAfter bounds the time for which the service may send a reader
+	// away.
+	maxRetryAfter = 5 * time.Minute
 )
 
 // ErrUnavailable means that the service did not answer a read, or not in its
@@ -39,9 +42,11 @@
 }
 
 // NewClient returns a client for the service at a URL such as
-// "http://192.0.2.1:7000".
+// "http://192.0.2.1:7000". It follows no redirects.
 func NewClient(baseURL string, client *http.Client) *Client {
-	return &Client{baseURL: baseURL, http: client}
+	own := *client
+	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{baseURL: baseURL, http: &own}
 }
 
 // Tickets returns the tickets after a number, in order. With a wait, the
@@ -117,15 +122,43 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return unavailable(fmt.Errorf("status %s", response.Status), path)
+		return unavailable(statusError(response), path)
 	}
-	decoder := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes))
-	if err := decoder.Decode(answer); err != nil {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
 		return unavailable(err, path)
 	}
-	return nil
+	if len(body) > maxAnswerBytes {
+		return unavailable(errors.Newf("the answer has more than %d bytes", maxAnswerBytes), path)
+	}
+	return unavailable(json.Unmarshal(body, answer), path)
+}
+
+// statusError returns the error of an answer without a value.
+func statusError(response *http.Response) error {
+	throttled := response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if !throttled || err != nil || seconds < 0 {
+		return errors.Newf("status %s", response.Status)
+	}
+	return &ThrottledError{Status: response.Status, Delay: min(time.Duration(seconds)*time.Second, maxRetryAfter)}
 }
 
+// ThrottledError means that the service says when to come back.
+type ThrottledError struct {
+	Status string
+	Delay  time.Duration
+}
+
+// Error names the status and the delay.
+func (e *ThrottledError) Error() string {
+	return fmt.Sprintf("status %s, come back after %s", e.Status, e.Delay)
+}
+
+// RetryAfter is the least time until the next read.
+func (e *ThrottledError) RetryAfter() time.Duration { return e.Delay }
+
+// unavailable marks an error of a read; nil stays nil.
 func unavailable(err error, path string) error {
 	return errors.Mark(errors.Wrapf(err, "read %s", path), ErrUnavailable)
 }
--- /dev/null
+++ b/transport/platform/client_test.go
@@ -0,0 +1,87 @@
+package platform_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/transport/network"
+	"github.com/wasabiport/wasabiport/transport/platform"
+)
+
+// serve runs a handler in place of the service, in a bubble with a virtual
+// clock.
+func serve(t *testing.T, handler http.HandlerFunc, use func(*testing.T, *platform.Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory()
+		listener, err := memory.Listen(t.Context(), "192.0.2.1:80")
+		require.NoError(t, err)
+		server := &http.Server{Handler: handler}
+		go func() { _ = server.Serve(listener) }()
+		defer func() { require.NoError(t, server.Close()) }()
+		transport := &http.Transport{
+			DisableKeepAlives: true,
+			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				return memory.Dial(ctx, address)
+			},
+		}
+		use(t, platform.NewClient("http://192.0.2.1:80", &http.Client{Transport: transport}))
+	})
+}
+
+func TestBadAnswersAreUnavailable(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer http.HandlerFunc
+		want   string
+	}{
+		{"down", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "", http.StatusServiceUnavailable) }, "status 503"},
+		{"garbage", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "<html>") }, "invalid character"},
+		{"garbage behind", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"tickets":[]}}`) }, "invalid character"},
+		{"cut", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, `{"tickets":[]}`)
+		}, "unexpected EOF"},
+		{"too large", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `{"tickets":[]`+strings.Repeat(" ", 9<<20)+"}")
+		}, "more than"},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "http://192.0.2.9/v1/tickets", http.StatusFound)
+		}, "status 302"},
+		{"slow body", func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}, "deadline exceeded"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			serve(t, test.answer, func(t *testing.T, client *platform.Client) {
+				_, err := client.Tickets(t.Context(), 0, 0)
+				require.True(t, errors.Is(err, platform.ErrUnavailable))
+				require.ErrorContains(t, err, test.want)
+			})
+		})
+	}
+}
+
+func TestThrottledReaderIsToldWhenToComeBack(t *testing.T) {
+	answer := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "7")
+		http.Error(w, "", http.StatusTooManyRequests)
+	}
+	serve(t, answer, func(t *testing.T, client *platform.Client) {
+		_, err := client.Hosts(t.Context(), 0, 0)
+		var throttled *platform.ThrottledError
+		require.ErrorAs(t, err, &throttled)
+		require.Equal(t, 7*time.Second, throttled.RetryAfter())
+	})
+}
--- a/wire.go
+++ b/wire.go
@@ -23,6 +23,7 @@
 	newPicker,
 	newSource,
 	newRecords,
+	newLogger,
 	newGuard,
 	newPool,
 	newEntry,
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -28,7 +28,8 @@
 	records := newRecords(wasabiportIncarnation)
 	guard := newGuard(config, snapshotStore, records)
 	client := newSource(config)
-	loop := controlloop.New(plane, client)
+	logger := newLogger(config)
+	loop := controlloop.New(plane, client, logger)
 	pool := newPool(config, wasabiportIncarnation, loop, guard)
 	picker := newPicker(config, plane)
 	handler := newEntry(config, snapshotStore, picker, plane, pool, guard)
@@ -50,6 +51,7 @@
 	newPicker,
 	newSource,
 	newRecords,
+	newLogger,
 	newGuard,
 	newPool,
 	newEntry,
