Count bytes in their own test of the bench

The fleet test took bytes between peers for granted when the first ticket is in force. With few hosts each one reads the source and may be ahead of its sessions, so the check failed by timing. Bytes are now checked on one counted connection, in both directions and exactly; the fleet test asks for traffic of each node with peers or source.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -1,6 +1,8 @@
 package bench
 
 import (
+	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,11 +26,32 @@
 	require.NoError(t, err)
 	defer f.stop()
 	for _, member := range f.members {
-		require.Positive(t, member.traffic.peers.Load())
+		require.Positive(t, member.traffic.total())
 	}
-	require.Positive(t, f.bytes())
 	f.members[2].node.Shutdown()
 	require.NoError(t, f.source.file(changeTicket(2, 3, 1)))
 	require.NoError(t, f.start(t.Context(), f.members[2]))
 	require.NoError(t, f.await(t.Context(), 2))
 }
+
+func TestBytesAreCountedInBothDirections(t *testing.T) {
+	var dialed, accepted atomic.Int64
+	listener, err := countingNetwork{bytes: &accepted}.Listen(t.Context(), "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	near, err := countingNetwork{bytes: &dialed}.Dial(t.Context(), listener.Addr().String())
+	require.NoError(t, err)
+	defer near.Close()
+	far, err := listener.Accept()
+	require.NoError(t, err)
+	defer far.Close()
+	_, err = near.Write([]byte("hello"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(far, make([]byte, 5))
+	require.NoError(t, err)
+	_, err = far.Write([]byte("hi"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(near, make([]byte, 2))
+	require.NoError(t, err)
+	require.Equal(t, []int64{7, 7}, []int64{dialed.Load(), accepted.Load()})
+}
