Leave out faults that only follow from an unreadable value

Cause: a duration without a unit gave two faults at the same place, one from decoding and one because the value that stood in for it is 0. Change: acceptance skips checks of a place that decoding has named; the same filter in ticket check is gone. Verdicts stay as they were.

--- a/cmd/wasabiport/ticketcheck.go
+++ b/cmd/wasabiport/ticketcheck.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"os"
-	"slices"
 
 	"github.com/spf13/cobra"
 
@@ -67,21 +66,11 @@
 		ticket.Malformed = append(ticket.Malformed, checkOrder(index, snapshot, ticket)...)
 		var verdict state.Verdict
 		snapshot, verdict = acceptance.Judge(snapshot, ticket)
-		verdict.Faults = withoutFollowing(verdict.Faults, ticket.Malformed)
 		checked = append(checked, newCheckedFile(file, verdict))
 	}
 	return checked, nil
 }
 
-// withoutFollowing returns faults without those that only follow from a value
-// that could not be read, which has a fault of its own at the same place.
-func withoutFollowing(faults, unreadable []state.Fault) []state.Fault {
-	return slices.DeleteFunc(slices.Clone(faults), func(fault state.Fault) bool {
-		samePlace := func(other state.Fault) bool { return other.Path == fault.Path }
-		return slices.ContainsFunc(unreadable, samePlace) && !slices.Contains(unreadable, fault)
-	})
-}
-
 // checkOrder returns a fault for a ticket that does not follow the one before.
 func checkOrder(index int, before *state.Snapshot, ticket state.Ticket) []state.Fault {
 	want := before.Judged() + 1
--- a/coordination/acceptance/faults.go
+++ b/coordination/acceptance/faults.go
@@ -16,9 +16,15 @@
 type faultList struct {
 	faults  []state.Fault
 	omitted int
+	// unreadable holds the places of values that could not be read. Other
+	// faults there only follow from that.
+	unreadable map[string]bool
 }
 
 func (l *faultList) add(path, format string, arguments ...any) {
+	if l.unreadable[path] {
+		return
+	}
 	if len(l.faults) >= maxFaults {
 		l.omitted++
 		return
@@ -26,10 +32,14 @@
 	l.faults = append(l.faults, state.Fault{Path: path, Reason: fmt.Sprintf(format, arguments...)})
 }
 
-func (l *faultList) addAll(faults []state.Fault) {
+// addMalformed adds the faults found when the ticket was decoded.
+func (l *faultList) addMalformed(faults []state.Fault) {
+	unreadable := make(map[string]bool, len(faults))
 	for _, fault := range faults {
 		l.add(fault.Path, "%s", fault.Reason)
+		unreadable[fault.Path] = true
 	}
+	l.unreadable = unreadable
 }
 
 // list returns the faults; the last one counts those that did not fit.
--- a/coordination/acceptance/ticket.go
+++ b/coordination/acceptance/ticket.go
@@ -19,7 +19,7 @@
 }
 
 func checkTicket(faults *faultList, ticket state.Ticket) {
-	faults.addAll(ticket.Malformed)
+	faults.addMalformed(ticket.Malformed)
 	if ticket.Number == 0 {
 		faults.add("number", "ticket numbers start at 1")
 	}
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -89,7 +89,7 @@
 	deployments, err := Deployments()
 	require.NoError(t, err)
 	want := map[string][]string{
-		"lakeshore":    {"set.routes[1].timeout", "set.routes[1].timeout", "set.routes[0].service"},
+		"lakeshore":    {"set.routes[1].timeout", "set.routes[0].service"},
 		"roshan-nazar": {"set.routes[0].service"},
 	}
 	for _, deployment := range deployments {
