Tell operators where a ticket stands across the fleet

Cause: the plane merges the heads of all hosts, but nobody could ask. Change: GET /v1/tickets and /v1/tickets/N on the operators' listener, and wasabiport ticket status [N] as a table or JSON. Availability zones that the node can't see and hosts that diverged are named.

--- a/cmd/wasabiport/ticket.go
+++ b/cmd/wasabiport/ticket.go
@@ -7,5 +7,6 @@
 		"ticket",
 		"Check tickets before they are filed and follow them afterwards",
 		newTicketCheckCommand(),
+		newTicketStatusCommand(),
 	)
 }
--- /dev/null
+++ b/cmd/wasabiport/ticketstatus.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wasabiport/wasabiport/transport/operator"
+)
+
+func newTicketStatusCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "status [N]",
+		Short: "Show where tickets stand across the fleet",
+		Long: `Asks any node where ticket N, or each of the latest tickets, stands in every
+availability zone: on how many hosts it is in force, rejected, not judged yet
+(behind), or of how many no recent report is known (not heard). Availability
+zones that the node can't see are named.`,
+		Example: `  wasabiport ticket status
+  wasabiport ticket status 7 --operator http://10.1.0.11:9090 --output json`,
+		Args: usageArgs(cobra.MaximumNArgs(1)),
+	}
+	baseURL := operatorFlag(command)
+	output := outputFlag(command)
+	command.RunE = func(command *cobra.Command, arguments []string) error {
+		if err := checkOutput(*output); err != nil {
+			return err
+		}
+		if len(arguments) == 0 {
+			return showTickets(command, *baseURL, *output)
+		}
+		return showTicket(command, *baseURL, *output, arguments[0])
+	}
+	return command
+}
+
+func showTicket(command *cobra.Command, baseURL, output, argument string) error {
+	number, err := strconv.ParseUint(argument, 10, 64)
+	if err != nil || number == 0 {
+		return asUsageError(fmt.Errorf("a ticket number is a whole number from 1, not %q", argument))
+	}
+	var status operator.TicketStatus
+	if err := askNode(command.Context(), baseURL, fmt.Sprintf("/v1/tickets/%d", number), &status); err != nil {
+		return err
+	}
+	if output == outputJSON {
+		return writeJSON(command.OutOrStdout(), status)
+	}
+	return writeTickets(command.OutOrStdout(), []operator.TicketStatus{status})
+}
+
+func showTickets(command *cobra.Command, baseURL, output string) error {
+	var list operator.TicketList
+	if err := askNode(command.Context(), baseURL, "/v1/tickets", &list); err != nil {
+		return err
+	}
+	if output == outputJSON {
+		return writeJSON(command.OutOrStdout(), list)
+	}
+	return writeTickets(command.OutOrStdout(), list.Tickets)
+}
+
+// writeTickets writes a row for each ticket and availability zone, then the
+// reasons of rejections and the availability zones that can't be seen.
+func writeTickets(w io.Writer, tickets []operator.TicketStatus) error {
+	rows := [][]string{{"TICKET", "VERDICT", "ZONE", "HOSTS", "IN FORCE", "REJECTED", "BEHIND", "NOT HEARD", "OLDEST REPORT"}}
+	for _, ticket := range tickets {
+		for _, zone := range ticket.Zones {
+			rows = append(rows, zoneRow(ticket, zone))
+		}
+	}
+	if err := writeTable(w, rows); err != nil {
+		return err
+	}
+	for _, ticket := range tickets {
+		if err := writeRemarks(w, ticket); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func zoneRow(ticket operator.TicketStatus, zone operator.ZoneStatus) []string {
+	row := []string{fmt.Sprint(ticket.Number), ticket.Verdict, string(zone.Zone)}
+	for _, count := range []int{zone.Hosts, zone.InForce, zone.Rejected, zone.Behind, zone.NotHeard} {
+		row = append(row, strconv.Itoa(count))
+	}
+	return append(row, zone.OldestReport)
+}
+
+func writeRemarks(w io.Writer, ticket operator.TicketStatus) error {
+	for _, fault := range ticket.Faults {
+		if _, err := fmt.Fprintf(w, "ticket %d: %s: %s\n", ticket.Number, fault.Path, fault.Reason); err != nil {
+			return err
+		}
+	}
+	for _, zone := range ticket.UnseenZones {
+		if _, err := fmt.Fprintf(w, "ticket %d: the node can't see availability zone %s\n", ticket.Number, zone); err != nil {
+			return err
+		}
+	}
+	for _, zone := range ticket.Zones {
+		if zone.Diverged == 0 {
+			continue
+		}
+		_, err := fmt.Fprintf(w, "ticket %d: %d hosts of %s have another configuration than the node\n",
+			ticket.Number, zone.Diverged, zone.Zone)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/transport/operator/operator.go
+++ b/transport/operator/operator.go
@@ -35,8 +35,14 @@
 	NotReady string                 `json:"not_ready,omitempty"`
 }
 
+// NodeAndFleet is what the listener needs.
+type NodeAndFleet interface {
+	Node
+	Fleet
+}
+
 // NewHandler returns the handler of the operators' listener.
-func NewHandler(self state.Host, node Node, registry *prometheus.Registry) http.Handler {
+func NewHandler(self state.Host, node NodeAndFleet, registry *prometheus.Registry) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
@@ -52,6 +58,12 @@
 	mux.HandleFunc("GET /v1/node", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, nodeStatus(self, node))
 	})
+	mux.HandleFunc("GET /v1/tickets", func(w http.ResponseWriter, r *http.Request) {
+		serveTickets(w, r, node.Head().Judged, node)
+	})
+	mux.HandleFunc("GET /v1/tickets/{number}", func(w http.ResponseWriter, r *http.Request) {
+		serveTicket(w, r, node)
+	})
 	mux.HandleFunc("GET /v1/configuration", func(w http.ResponseWriter, _ *http.Request) {
 		serveConfiguration(w, node.Snapshot())
 	})
