--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -1,5 +1,3 @@
-// Package docs_test compares the pages with the code. With UPDATE_DOCS=1 the
-// generated sections are written anew instead.
 package docs_test
 
 import (
@@ -14,6 +12,7 @@
 	"github.com/wasabiport/wasabiport/transport/events"
 )
 
+// With UPDATE_DOCS=1 the generated sections are written anew instead.
 func TestGeneratedSections(t *testing.T) {
 	cases := []struct {
 		page    string
