Refuse calls until the node is ready

The entry did not ask the plane whether it is ready. Change: the entry refuses with not-ready (503, not run) until it is.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -159,3 +159,18 @@
 		}
 	})
 }
+
+func TestCallsBeforeTheFirstTicketAreNotRun(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.stop()
+		time.Sleep(10 * time.Second)
+		require.ErrorIs(t, f.nodes[0].Ready(), wasabiport.ErrNotReady)
+		response, err := f.client().Get("http://" + callerAddress(0) + "/permits/7")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.Equal(t, "not-run", response.Header.Get("Wasabiport-Outcome"))
+		require.Equal(t, "not-ready", response.Header.Get("Wasabiport-Reason"))
+		require.NoError(t, response.Body.Close())
+	})
+}
--- a/providers.go
+++ b/providers.go
@@ -100,10 +100,11 @@
 	snapshots *state.SnapshotStore,
 	picker *picking.Picker,
 	hosts entry.Hosts,
+	readiness entry.Readiness,
 	dialer entry.Dialer,
 	local callstream.Handler,
 ) *entry.Handler {
-	return entry.NewHandler(config.Self.Name, snapshots, picker, hosts, dialer, local)
+	return entry.NewHandler(config.Self.Name, snapshots, picker, hosts, readiness, dialer, local)
 }
 
 func newNode(
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -20,6 +20,13 @@
 	"github.com/wasabiport/wasabiport/transport/callstream"
 )
 
+// Readiness tells whether the node may serve callers.
+type Readiness interface {
+	// Ready returns false, with what the node waits for, until its
+	// configuration is as far as that of enough peers.
+	Ready(now time.Time) (ready bool, waitsFor string)
+}
+
 // Hosts finds the node of a host.
 type Hosts interface {
 	// Host returns what is known of a host.
@@ -38,6 +45,7 @@
 	snapshots *state.SnapshotStore
 	picker    *picking.Picker
 	hosts     Hosts
+	readiness Readiness
 	dialer    Dialer
 	local     callstream.Handler
 }
@@ -49,6 +57,7 @@
 	snapshots *state.SnapshotStore,
 	picker *picking.Picker,
 	hosts Hosts,
+	readiness Readiness,
 	dialer Dialer,
 	local callstream.Handler,
 ) *Handler {
@@ -57,6 +66,7 @@
 		snapshots: snapshots,
 		picker:    picker,
 		hosts:     hosts,
+		readiness: readiness,
 		dialer:    dialer,
 		local:     local,
 	}
@@ -68,6 +78,10 @@
 // ServeHTTP serves one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := state.CallID(uuid.NewString())
+	if ready, waitsFor := h.readiness.Ready(time.Now()); !ready {
+		httpmap.WriteRefusal(w, id, state.NotRun(state.RefusedNotReady, "the node is not ready: "+waitsFor))
+		return
+	}
 	snapshot := h.snapshots.Load()
 	route, ok := routing.Match(snapshot, hostOf(r), r.URL.Path, r.Method)
 	if !ok {
--- a/wire.go
+++ b/wire.go
@@ -32,6 +32,7 @@
 	wire.Bind(new(controlloop.Source), new(*platform.Client)),
 	wire.Bind(new(picking.HostPhases), new(*control.Plane)),
 	wire.Bind(new(entry.Hosts), new(*control.Plane)),
+	wire.Bind(new(entry.Readiness), new(*control.Plane)),
 	wire.Bind(new(entry.Dialer), new(*peering.Pool)),
 	wire.Bind(new(callstream.Handler), new(*guard.Guard)),
 )
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -32,7 +32,7 @@
 	loop := controlloop.New(plane, client, logger)
 	pool := newPool(config, wasabiportIncarnation, loop, guard)
 	picker := newPicker(config, plane)
-	handler := newEntry(config, snapshotStore, picker, plane, pool, guard)
+	handler := newEntry(config, snapshotStore, picker, plane, plane, pool, guard)
 	registry, err := newRegistry()
 	if err != nil {
 		return nil, err
@@ -55,5 +55,5 @@
 	newGuard,
 	newPool,
 	newEntry,
-	newNode, controlloop.New, wire.Bind(new(controlloop.Source), new(*platform.Client)), wire.Bind(new(picking.HostPhases), new(*control.Plane)), wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
+	newNode, controlloop.New, wire.Bind(new(controlloop.Source), new(*platform.Client)), wire.Bind(new(picking.HostPhases), new(*control.Plane)), wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
 )
