Print where tickets stand by availability zone in the demonstration

Cause: the demonstration judged tickets itself to print their verdicts. Change: it asks a node for the fleet status, waits on the node instead of looking at intervals, and takes a stopping node out of the callers' choice before it stops.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -161,10 +161,10 @@
 // that it took.
 func (f *fleet) waitJudged(ctx context.Context, number state.TicketNumber) (time.Duration, error) {
 	start := time.Now()
-	behind := func(node *wasabiport.Node) bool { return node.Head().Judged < number }
-	err := waitUntil(ctx, func() bool { return !slices.ContainsFunc(f.running(), behind) })
-	if err != nil {
-		return 0, fmt.Errorf("%s: ticket %d did not reach every node: %w", f.deployment.Name, number, err)
+	for _, node := range f.running() {
+		if err := node.AwaitTicket(ctx, number); err != nil {
+			return 0, fmt.Errorf("%s: %w", f.deployment.Name, err)
+		}
 	}
 	return time.Since(start), nil
 }
--- a/internal/demo/leaving.go
+++ b/internal/demo/leaving.go
@@ -63,7 +63,12 @@
 			return err
 		}
 		s.announce(host, state.HostLeaving)
+		// Callers choose another entry before the node stops, as operators
+		// arrange it for a planned stop.
 		s.fleet.nodes.Delete(host.Name)
+		if err := sleep(ctx, settleTime); err != nil {
+			return err
+		}
 		stopErr = node.Leave(ctx)
 		slow = <-finished
 		s.announce(host, state.HostLive)
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"text/tabwriter"
 
-	"github.com/wasabiport/wasabiport/coordination/acceptance"
-	"github.com/wasabiport/wasabiport/protocol/ticketfile"
+	"github.com/wasabiport/wasabiport/coordination/fleetstatus"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -22,31 +22,32 @@
 	return s.promises.print(s.out)
 }
 
+// reportTickets prints where each ticket stands, as any node tells it.
 func (s *show) reportTickets() error {
+	node := s.fleet.running()[0]
 	table := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "TICKET\tVERDICT\tJUDGED BY\tREASON")
-	snapshot := state.EmptySnapshot()
-	for number, raw := range s.fleet.platform.Tickets() {
-		var verdict state.Verdict
-		ticket := ticketfile.Decode(state.TicketNumber(number+1), raw)
-		snapshot, verdict = acceptance.Judge(snapshot, ticket)
-		judged := 0
-		for _, node := range s.fleet.running() {
-			if node.Head().Judged >= ticket.Number {
-				judged++
-			}
+	_, _ = fmt.Fprintln(table, "TICKET\tVERDICT\tSTANDS")
+	for number := range s.fleet.platform.TicketCount() {
+		status := node.TicketStatus(state.TicketNumber(number + 1))
+		_, _ = fmt.Fprintf(table, "%d\t%s\t%s\n", status.Number, status.Outcome, standing(status))
+		for _, fault := range status.Faults {
+			_, _ = fmt.Fprintf(table, "\t\t%s: %s\n", fault.Path, fault.Reason)
 		}
-		text, reason := "accepted", ""
-		if !verdict.Accepted() {
-			text = "rejected"
-			reason = verdict.Faults[0].Path + " " + verdict.Faults[0].Reason
-		}
-		_, _ = fmt.Fprintf(table, "%d\t%s\t%d of %d\t%s\n", ticket.Number, text, judged, len(s.fleet.hosts), reason)
 	}
 	_, _ = fmt.Fprintln(table)
 	return table.Flush()
 }
 
+// standing says on how many hosts of each availability zone a ticket is in
+// force or rejected.
+func standing(status fleetstatus.TicketStatus) string {
+	var zones []string
+	for _, zone := range status.Zones {
+		zones = append(zones, fmt.Sprintf("%s %d of %d", zone.Zone, zone.InForce+zone.Rejected, zone.Hosts))
+	}
+	return strings.Join(zones, ", ")
+}
+
 func (s *show) reportClasses() error {
 	table := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "PHASE\tCLASS\tCALLS\tDONE\tIN TARGET\tNOT RUN\tMAY HAVE RUN\tCUT\tP50\tP99")
--- a/internal/demo/show.go
+++ b/internal/demo/show.go
@@ -20,6 +20,8 @@
 	drainTarget = 2 * time.Second
 	// drainLook is how long a drained backend server is looked at.
 	drainLook = time.Second
+	// statusTarget is the time within which the status of the fleet is whole.
+	statusTarget = convergeTarget
 	// phaseTime is how long calls are sent in the phases without an event.
 	phaseTime = 1500 * time.Millisecond
 	// settleTime is how long calls are sent before and after an event.
@@ -63,7 +65,7 @@
 	defer stopWatch()
 	watch := watchVersions(watchCtx, s.fleet)
 	steps := []func(context.Context) error{
-		s.fileTickets, s.fileRejected, s.calm, s.drain, s.flood, s.stopGracefully, s.killAndRestart,
+		s.fileTickets, s.fileRejected, s.calm, s.drain, s.flood, s.stopGracefully, s.killAndRestart, s.followStatus,
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
@@ -141,6 +143,24 @@
 		func() error { return sleep(ctx, phaseTime) })
 }
 
+// followStatus waits until a node tells that every host has judged the latest
+// ticket.
+func (s *show) followStatus(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTarget)
+	defer cancel()
+	latest := state.TicketNumber(s.fleet.platform.TicketCount())
+	err := waitUntil(ctx, func() bool {
+		seen := 0
+		for _, zone := range s.fleet.running()[0].TicketStatus(latest).Zones {
+			seen += zone.InForce + zone.Rejected
+		}
+		return seen == len(s.fleet.hosts)
+	})
+	s.promises.look(err == nil, "where each ticket stands can be read back",
+		"within %s a node tells of ticket %d on every host", statusTarget, latest)
+	return nil
+}
+
 // phase runs an action with calls around it and keeps their tally.
 func (s *show) phase(name string, send func(action func() error) (*tally, error), action func() error) error {
 	tally, err := send(action)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -148,10 +148,3 @@
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
-
-// Tickets returns the published tickets, the first under index 0.
-func (p *Platform) Tickets() []json.RawMessage {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Clone(p.tickets)
-}
