Serve callers under limits, with retries, fair shares and metrics

The entry node asks coordination for each step: caller limits before a body is read, the pick, also by key, and what follows a refusal under the retry budget. A body of which one guard has got a part is never sent to another one: the rest of it could not be read again.

A caller that does not read its answer is cut off, and the connections of one IP address are bounded. A leaving node tells its peers, goes on accepting callers for LeaveDelay while each answer ends its connection, and then finishes the calls of its callers and of its peers.

--- a/config.go
+++ b/config.go
@@ -39,6 +39,26 @@
 	// 1 s.
 	RedialInterval time.Duration
 
+	// LeaveDelay is the time for which a leaving node still accepts callers,
+	// after it has told its peers and reports itself not ready. A longer time
+	// lets slower load balancers turn away. Default 2 s.
+	LeaveDelay time.Duration
+	// MaxBodyBytes bounds the body of a request. Default 1 GiB.
+	MaxBodyBytes int64
+	// MaxHeaderBytes bounds the headers of a request. Default 64 KiB.
+	MaxHeaderBytes int
+	// MaxHeaderFields bounds the number of header fields of a request.
+	// Default 128.
+	MaxHeaderFields int
+	// MaxConnectionsPerAddress bounds the connections of callers from one IP
+	// address. A larger number helps callers behind one proxy, a smaller one
+	// keeps one address from taking all. Default 4096.
+	MaxConnectionsPerAddress int
+	// StallTimeout is how long a caller may take to read a part of its answer.
+	// A shorter time frees slots sooner and cuts slower callers off. Default
+	// 10 s.
+	StallTimeout time.Duration
+
 	// Seed makes the random choices of the node repeatable. 0 takes a random
 	// seed. Default 0.
 	Seed uint64
@@ -53,11 +73,17 @@
 // DefaultConfig returns the settings for a fleet in a few regions.
 func DefaultConfig() Config {
 	return Config{
-		OfferInterval:       5 * time.Second,
-		SourceRetryInterval: time.Second,
-		HandshakeTimeout:    3 * time.Second,
-		RedialInterval:      time.Second,
-		Network:             network.TCP{},
-		HTTPClient:          http.DefaultClient,
+		OfferInterval:            5 * time.Second,
+		SourceRetryInterval:      time.Second,
+		HandshakeTimeout:         3 * time.Second,
+		RedialInterval:           time.Second,
+		LeaveDelay:               2 * time.Second,
+		MaxBodyBytes:             1 << 30,
+		MaxHeaderBytes:           64 << 10,
+		MaxHeaderFields:          128,
+		MaxConnectionsPerAddress: 4096,
+		StallTimeout:             10 * time.Second,
+		Network:                  network.TCP{},
+		HTTPClient:               http.DefaultClient,
 	}
 }
--- a/node.go
+++ b/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,7 @@
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
+	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/guard"
 	"github.com/wasabiport/wasabiport/transport/peering"
 )
@@ -24,6 +26,12 @@
 // ErrNotReady means that the node does not answer callers yet.
 var ErrNotReady = errors.New("not ready for callers")
 
+// ErrLeaving means that the node takes no new work.
+var ErrLeaving = errors.New("the node is leaving")
+
+// callerIdleTimeout is how long a caller's connection without a call is kept.
+const callerIdleTimeout = 2 * time.Minute
+
 // readHeaderTimeout bounds the time in which a caller sends its headers.
 const readHeaderTimeout = 5 * time.Second
 
@@ -35,9 +43,11 @@
 	guard     *guard.Guard
 	loop      *controlloop.Loop
 	pool      *peering.Pool
+	entry     *entry.Handler
 	callers   *http.Server
 	operators *http.Server
 	listeners listeners
+	leaving   atomic.Bool
 	threads   sync.WaitGroup
 }
 
@@ -80,7 +90,8 @@
 
 func (n *Node) start() {
 	n.threads.Go(func() { _ = n.pool.Serve(n.listeners.peers) })
-	n.threads.Go(func() { _ = n.callers.Serve(n.listeners.callers) })
+	callers := entry.LimitConnections(n.listeners.callers, n.config.MaxConnectionsPerAddress)
+	n.threads.Go(func() { _ = n.callers.Serve(callers) })
 	n.threads.Go(func() { _ = n.operators.Serve(n.listeners.operators) })
 	n.loop.Start(n.pool)
 }
@@ -93,6 +104,9 @@
 
 // Ready returns nil when the node serves callers.
 func (n *Node) Ready() error {
+	if n.leaving.Load() {
+		return ErrLeaving
+	}
 	if ready, reason := n.plane.Ready(time.Now()); !ready {
 		return errors.Wrap(ErrNotReady, reason)
 	}
@@ -121,17 +135,32 @@
 	}
 }
 
-// Leave ends the node gracefully: it takes no new calls, finishes those that
-// run, and then closes everything. When ctx ends first it cuts what is left
-// and returns the context's error.
+// Leave ends the node gracefully: it tells its peers, sends new calls to other
+// nodes, finishes those that run, its callers' and its peers', and then closes
+// everything. When ctx ends first it cuts what is left and returns the
+// context's error.
 func (n *Node) Leave(ctx context.Context) error {
-	n.guard.Leave()
+	n.leaving.Store(true)
 	n.loop.Leave()
+	n.guard.Leave()
+	n.entry.Leave()
+	n.awaitLeaveDelay(ctx)
 	err := n.callers.Shutdown(ctx)
+	err = errors.CombineErrors(err, n.guard.AwaitDrained(ctx))
 	n.Shutdown()
 	return errors.Wrap(err, "finish calls")
 }
 
+// awaitLeaveDelay waits while callers and peers turn to other nodes.
+func (n *Node) awaitLeaveDelay(ctx context.Context) {
+	timer := time.NewTimer(n.config.LeaveDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Shutdown ends the node at once and cuts the calls that run.
 func (n *Node) Shutdown() {
 	_ = n.callers.Close()
--- a/protocol/httpmap/refusal.go
+++ b/protocol/httpmap/refusal.go
@@ -16,6 +16,10 @@
 		return http.StatusNotFound
 	case state.RefusedBadRequest:
 		return http.StatusBadRequest
+	case state.RefusedUnsupported:
+		return http.StatusNotImplemented
+	case state.RefusedTooLarge:
+		return http.StatusRequestEntityTooLarge
 	case state.RefusedConflict:
 		return http.StatusConflict
 	case state.RefusedCallerLimit:
--- a/providers.go
+++ b/providers.go
@@ -10,14 +10,17 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/wasabiport/wasabiport/coordination/callerlimit"
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/coordination/picking"
+	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/operator"
 	"github.com/wasabiport/wasabiport/transport/peering"
 	"github.com/wasabiport/wasabiport/transport/platform"
@@ -55,6 +58,7 @@
 const (
 	randomOfPlane uint64 = iota + 1
 	randomOfPicker
+	randomOfRetries
 )
 
 func newPlane(config Config, started incarnation, snapshots *state.SnapshotStore) *control.Plane {
@@ -95,16 +99,49 @@
 	return peering.NewPool(settings, config.Network, peerHandler{Loop: loop, guard: guard})
 }
 
+func newCallMetrics(registry *prometheus.Registry, guard *guard.Guard) (*metrics.Calls, error) {
+	if err := metrics.RegisterGates(registry, guard); err != nil {
+		return nil, err
+	}
+	return metrics.NewCalls(registry)
+}
+
+func newDecisions(config Config, picker *picking.Picker) entry.Decisions {
+	budget := retry.NewBudget(retry.BudgetConfig{})
+	return entry.Decisions{
+		Picker:  picker,
+		Retries: retry.NewPolicy(retry.Config{}, budget, newRandom(config, randomOfRetries)),
+		Budget:  budget,
+		Limits:  callerlimit.New(callerlimit.Config{}),
+	}
+}
+
 func newEntry(
 	config Config,
+	decisions entry.Decisions,
 	snapshots *state.SnapshotStore,
-	picker *picking.Picker,
 	hosts entry.Hosts,
 	readiness entry.Readiness,
 	dialer entry.Dialer,
 	local callstream.Handler,
+	observer entry.Observer,
 ) *entry.Handler {
-	return entry.NewHandler(config.Self.Name, snapshots, picker, hosts, readiness, dialer, local)
+	settings := entry.Config{
+		Self:            config.Self.Name,
+		MaxBodyBytes:    config.MaxBodyBytes,
+		MaxHeaderFields: config.MaxHeaderFields,
+		StallTimeout:    config.StallTimeout,
+	}
+	return entry.NewHandler(settings, decisions, snapshots, hosts, readiness, dialer, local, observer)
+}
+
+func newCallerServer(config Config, handler *entry.Handler) *http.Server {
+	settings := entry.ServerConfig{
+		HeaderTimeout:  readHeaderTimeout,
+		IdleTimeout:    callerIdleTimeout,
+		MaxHeaderBytes: config.MaxHeaderBytes,
+	}
+	return entry.NewServer(settings, handler)
 }
 
 func newNode(
@@ -115,6 +152,7 @@
 	loop *controlloop.Loop,
 	pool *peering.Pool,
 	handler *entry.Handler,
+	callers *http.Server,
 	registry *prometheus.Registry,
 ) *Node {
 	node := &Node{
@@ -124,7 +162,8 @@
 		guard:     guard,
 		loop:      loop,
 		pool:      pool,
-		callers:   &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
+		entry:     handler,
+		callers:   callers,
 	}
 	node.operators = &http.Server{
 		Handler:           operator.NewHandler(config.Self, node, registry),
--- a/state/refusal.go
+++ b/state/refusal.go
@@ -70,6 +70,11 @@
 	RefusedBadRequest
 	// RefusedCanceled means that the caller went away.
 	RefusedCanceled
+	// RefusedUnsupported means that the request asks for a feature of HTTP
+	// that calls don't have.
+	RefusedUnsupported
+	// RefusedTooLarge means that the request body exceeds the limit.
+	RefusedTooLarge
 )
 
 var refusalNames = map[RefusalReason]string{
@@ -88,6 +93,8 @@
 	RefusedShed:                "shed",
 	RefusedBadRequest:          "bad-request",
 	RefusedCanceled:            "canceled",
+	RefusedUnsupported:         "unsupported",
+	RefusedTooLarge:            "too-large",
 }
 
 // String returns the reason as it appears in headers and metrics.
--- a/transport/callstream/callstream.go
+++ b/transport/callstream/callstream.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,7 +27,8 @@
 // whole.
 var ErrCut = errors.New("body was cut")
 
-// Body is the body of a request at the entry node.
+// Body is the body of a request at the entry node. It must not be copied after
+// its first use.
 type Body struct {
 	// Prefix holds the first bytes, so that a call that was not run can be
 	// sent again.
@@ -34,14 +36,36 @@
 	// Rest is nil when Prefix is the whole body. It is read only after the
 	// guard has given the call its slot.
 	Rest io.Reader
+
+	taken atomic.Bool
+	ended atomic.Bool
 }
 
-// Reader returns the whole body. It can be called once when Rest is not nil.
-func (b Body) Reader() io.Reader {
+// Reader returns the whole body.
+func (b *Body) Reader() io.Reader {
 	if b.Rest == nil {
 		return bytes.NewReader(b.Prefix)
 	}
-	return io.MultiReader(bytes.NewReader(b.Prefix), b.Rest)
+	return io.MultiReader(bytes.NewReader(b.Prefix), takenReader{body: b})
+}
+
+// Taken reports whether a part of Rest has been read, so that the body can't
+// be sent again.
+func (b *Body) Taken() bool { return b.taken.Load() }
+
+// Ended reports whether Rest has been read to its end.
+func (b *Body) Ended() bool { return b.ended.Load() }
+
+// takenReader reads the rest of a body.
+type takenReader struct{ body *Body }
+
+func (r takenReader) Read(p []byte) (int, error) {
+	r.body.taken.Store(true)
+	n, err := r.body.Rest.Read(p)
+	if errors.Is(err, io.EOF) {
+		r.body.ended.Store(true)
+	}
+	return n, err
 }
 
 // Reply is the answer to a call.
--- a/transport/callstream/client.go
+++ b/transport/callstream/client.go
@@ -25,7 +25,7 @@
 
 // Do sends one call over a stream that it takes over, and returns the answer.
 // When ctx ends, the stream is closed and the guard cancels the call.
-func Do(ctx context.Context, stream net.Conn, head call.Head, body Body) Answer {
+func Do(ctx context.Context, stream net.Conn, head call.Head, body *Body) Answer {
 	client := &client{
 		stream: stream,
 		reader: frame.NewReader(stream),
@@ -57,7 +57,7 @@
 	stopWatch func() bool
 }
 
-func (c *client) do(body Body) Answer {
+func (c *client) do(body *Body) Answer {
 	if err := c.sendHead(body); err != nil {
 		return Answer{Refusal: c.lost()}
 	}
@@ -95,7 +95,7 @@
 
 func (c *client) replied(message *wirepb.ReplyHead) Answer {
 	head := callwire.DecodeReplyHead(message)
-	if head.ID != c.head.ID {
+	if head.ID != c.head.ID || !finalStatus(head.Status) {
 		return Answer{Refusal: c.lost()}
 	}
 	reader := &bodyReader{client: c}
@@ -103,9 +103,12 @@
 	return Answer{Reply: reply, Load: head.Load}
 }
 
+// finalStatus reports whether a status can end an HTTP exchange.
+func finalStatus(status int) bool { return status >= 200 && status <= 999 }
+
 // sendHead writes the head and, when the body is short, the body with it in
 // one write.
-func (c *client) sendHead(body Body) error {
+func (c *client) sendHead(body *Body) error {
 	message := callwire.EncodeHead(time.Now(), c.head)
 	message.AwaitsProceed = body.Rest != nil
 	var buffer bytes.Buffer
@@ -123,7 +126,7 @@
 
 // sendRest streams a long body. An error leaves the body without an end
 // marker, so the guard does not take it for whole.
-func (c *client) sendRest(body Body) {
+func (c *client) sendRest(body *Body) {
 	if err := writeBody(c.stream, body.Reader()); err != nil {
 		c.abort()
 	}
--- /dev/null
+++ b/transport/entry/dispatch.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
+	"github.com/wasabiport/wasabiport/coordination/retry"
+	"github.com/wasabiport/wasabiport/protocol/handshake"
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/callstream"
+)
+
+// dispatch asks guards one after the other until one answers, or the refusal
+// of one goes to the caller.
+func (h *Handler) dispatch(
+	ctx context.Context,
+	snapshot *state.Snapshot,
+	route state.Route,
+	head call.Head,
+	body *callstream.Body,
+) (*callstream.Reply, *state.Refusal) {
+	h.decisions.Budget.Earn()
+	var tried []state.BackendServerName
+	var last *state.Refusal
+	for attempts := 1; ; attempts++ {
+		server, refusal := h.pick(snapshot, route.Service, head, tried)
+		if refusal != nil && last != nil {
+			return nil, last
+		}
+		if refusal != nil {
+			return nil, retry.Unasked(head, refusal)
+		}
+		head.BackendServer = server.Name
+		answer := h.ask(ctx, server, head, body)
+		h.observe(server.Name, answer)
+		if answer.Reply != nil {
+			return answer.Reply, nil
+		}
+		decision := h.decide(head, answer.Refusal, attempts, body)
+		switch decision.Action {
+		case retry.ActionAnswer:
+			return nil, decision.Refusal
+		case retry.ActionOtherServer:
+			tried = append(tried, server.Name)
+		case retry.ActionSameServer:
+			if !wait(ctx, decision.Delay) {
+				return nil, h.lastAnswer(head, answer.Refusal)
+			}
+		}
+		last = h.lastAnswer(head, answer.Refusal)
+		h.observer.Retried()
+	}
+}
+
+func (h *Handler) pick(
+	snapshot *state.Snapshot,
+	service state.ServiceName,
+	head call.Head,
+	tried []state.BackendServerName,
+) (state.BackendServer, *state.Refusal) {
+	if !retry.Keyed(head) {
+		return h.decisions.Picker.Pick(time.Now(), snapshot, service, tried)
+	}
+	key := keyowner.Key{Caller: head.Caller, Value: head.IdempotencyKey}
+	return h.decisions.Picker.PickKeyed(snapshot, service, key, tried)
+}
+
+func (h *Handler) observe(server state.BackendServerName, answer callstream.Answer) {
+	now := time.Now()
+	if answer.Load.BackendServer != "" {
+		h.decisions.Picker.Observe(now, answer.Load)
+	}
+	if answer.Refusal != nil {
+		h.decisions.Picker.ObserveRefusal(now, server, answer.Refusal)
+	}
+}
+
+// decide says what follows a refusal. A body of which the guard has got a part
+// can't be sent to another one.
+func (h *Handler) decide(
+	head call.Head,
+	refusal *state.Refusal,
+	attempts int,
+	body *callstream.Body,
+) retry.Decision {
+	if body.Taken() {
+		attempts = math.MaxInt
+	}
+	return h.decisions.Retries.Decide(time.Now(), head, refusal, attempts)
+}
+
+// lastAnswer returns what the caller gets when there is no other attempt.
+func (h *Handler) lastAnswer(head call.Head, refusal *state.Refusal) *state.Refusal {
+	return h.decisions.Retries.Decide(time.Now(), head, refusal, math.MaxInt).Refusal
+}
+
+// ask sends a call to the guard of one backend server.
+func (h *Handler) ask(
+	ctx context.Context,
+	server state.BackendServer,
+	head call.Head,
+	body *callstream.Body,
+) callstream.Answer {
+	if server.Host == h.config.Self {
+		return h.askLocal(ctx, head, body)
+	}
+	host, ok := h.hosts.Host(server.Host)
+	if !ok {
+		return callstream.Answer{Refusal: state.NotRun(state.RefusedUnreachable, "the host of the backend server is not known")}
+	}
+	stream, err := h.dialer.OpenCall(ctx, host, handshake.LaneOf(head.Class))
+	if err != nil {
+		return callstream.Answer{Refusal: state.NotRun(state.RefusedUnreachable, "the guard can't be reached")}
+	}
+	return callstream.Do(ctx, stream, head, body)
+}
+
+func (h *Handler) askLocal(ctx context.Context, head call.Head, body *callstream.Body) callstream.Answer {
+	reply, refusal := h.local.Handle(ctx, head, body.Reader())
+	if refusal != nil {
+		return callstream.Answer{Refusal: refusal, Load: h.local.Load(head.BackendServer)}
+	}
+	return callstream.Answer{Reply: reply, Load: reply.Head.Load}
+}
+
+// wait returns false when ctx ends first.
+func wait(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -6,13 +6,14 @@
 	"context"
 	"net"
 	"net/http"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 
-	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/callerlimit"
 	"github.com/wasabiport/wasabiport/coordination/picking"
+	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/coordination/routing"
 	"github.com/wasabiport/wasabiport/protocol/handshake"
 	"github.com/wasabiport/wasabiport/protocol/httpmap"
@@ -20,13 +21,6 @@
 	"github.com/wasabiport/wasabiport/transport/callstream"
 )
 
-// Readiness tells whether the node may serve callers.
-type Readiness interface {
-	// Ready returns false, with what the node waits for, until its
-	// configuration is as far as that of enough peers.
-	Ready(now time.Time) (ready bool, waitsFor string)
-}
-
 // Hosts finds the node of a host.
 type Hosts interface {
 	// Host returns what is known of a host.
@@ -39,165 +33,154 @@
 	OpenCall(ctx context.Context, host state.Host, lane handshake.Lane) (net.Conn, error)
 }
 
+// Readiness tells whether the node may serve callers.
+type Readiness interface {
+	// Ready returns false, with what the node waits for, until its
+	// configuration is as far as that of enough peers.
+	Ready(now time.Time) (ready bool, waitsFor string)
+}
+
+// Observer is told how calls end. Its methods are called by many threads.
+type Observer interface {
+	// Began counts a call that has come.
+	Began()
+	// Ended counts a call whose answer, or refusal, has been written.
+	Ended(ended Ended)
+	// Retried counts one more attempt of a call.
+	Retried()
+}
+
+// Ended describes the end of a call.
+type Ended struct {
+	ID      state.CallID
+	Route   state.RouteName
+	Class   state.PriorityClass
+	Caller  state.CallerName
+	Took    time.Duration
+	Outcome state.Outcome
+	// Reason is 0 when the call was answered.
+	Reason state.RefusalReason
+	// Cut says that the answer could not be given whole.
+	Cut bool
+}
+
+// Config holds the settings of a Handler.
+type Config struct {
+	// Self is the host of this node.
+	Self state.HostName
+	// MaxBodyBytes bounds the body of a request. No default.
+	MaxBodyBytes int64
+	// MaxHeaderFields bounds the header fields of a request. No default.
+	MaxHeaderFields int
+	// StallTimeout is how long a caller may take to read a part of its
+	// answer. A shorter time frees slots sooner and cuts slower callers off.
+	// No default.
+	StallTimeout time.Duration
+}
+
+// Decisions are the parts that decide on calls.
+type Decisions struct {
+	Picker  *picking.Picker
+	Retries *retry.Policy
+	Budget  *retry.Budget
+	Limits  *callerlimit.Limits
+}
+
 // Handler is the http.Handler for callers.
 type Handler struct {
-	self      state.HostName
+	config    Config
+	decisions Decisions
 	snapshots *state.SnapshotStore
-	picker    *picking.Picker
 	hosts     Hosts
 	readiness Readiness
 	dialer    Dialer
 	local     callstream.Handler
+	observer  Observer
+	leaving   atomic.Bool
 }
 
-// NewHandler returns a handler that runs calls for backend servers on host
-// self with the local guard, and all others over dialer.
+// NewHandler returns a handler that runs calls for backend servers on its own
+// host with the local guard, and all others over dialer.
 func NewHandler(
-	self state.HostName,
+	config Config,
+	decisions Decisions,
 	snapshots *state.SnapshotStore,
-	picker *picking.Picker,
 	hosts Hosts,
 	readiness Readiness,
 	dialer Dialer,
 	local callstream.Handler,
+	observer Observer,
 ) *Handler {
 	return &Handler{
-		self:      self,
+		config:    config,
+		decisions: decisions,
 		snapshots: snapshots,
-		picker:    picker,
 		hosts:     hosts,
 		readiness: readiness,
 		dialer:    dialer,
 		local:     local,
+		observer:  observer,
 	}
 }
 
-// defaultTimeout bounds a call when its route sets no timeout.
-const defaultTimeout = 30 * time.Second
+// Leave makes every answer from now on the last one of its connection.
+func (h *Handler) Leave() { h.leaving.Store(true) }
 
 // ServeHTTP serves one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := state.CallID(uuid.NewString())
-	if ready, waitsFor := h.readiness.Ready(time.Now()); !ready {
-		httpmap.WriteRefusal(w, id, state.NotRun(state.RefusedNotReady, "the node is not ready: "+waitsFor))
-		return
-	}
-	snapshot := h.snapshots.Load()
-	route, ok := routing.Match(snapshot, hostOf(r), r.URL.Path, r.Method)
-	if !ok {
-		httpmap.WriteRefusal(w, id, state.NotRun(state.RefusedNoRoute, "no route matches the request"))
-		return
+	if h.leaving.Load() && r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
 	}
-	body, err := readBody(r)
-	if err != nil {
-		httpmap.WriteRefusal(w, id, state.NotRun(state.RefusedBadRequest, "the request body could not be read"))
-		return
+	started := time.Now()
+	ended := Ended{ID: state.CallID(uuid.NewString()), Class: state.ClassBackground}
+	h.observer.Began()
+	defer func() {
+		ended.Took = time.Since(started)
+		h.observer.Ended(ended)
+	}()
+	if refusal := h.serve(w, r, &ended); refusal != nil {
+		ended.Outcome = refusal.Outcome
+		ended.Reason = refusal.Reason
+		httpmap.WriteRefusal(w, ended.ID, refusal)
 	}
-	head := newHead(id, snapshot, route, r)
-	ctx, cancel := context.WithDeadline(r.Context(), head.Deadline)
-	defer cancel()
-	reply, refusal := h.dispatch(ctx, snapshot, route, head, body)
-	if refusal != nil {
-		httpmap.WriteRefusal(w, id, refusal)
-		return
-	}
-	writeReply(w, reply)
 }
 
-// maxAttempts bounds the guards that are asked for one call.
-const maxAttempts = 3
-
-// dispatch asks guards one after the other until one answers or refuses a
-// call that may have run.
-func (h *Handler) dispatch(
-	ctx context.Context,
-	snapshot *state.Snapshot,
-	route state.Route,
-	head call.Head,
-	body callstream.Body,
-) (*callstream.Reply, *state.Refusal) {
-	var tried []state.BackendServerName
-	var last *state.Refusal
-	for range maxAttempts {
-		server, refusal := h.picker.Pick(time.Now(), snapshot, route.Service, tried)
-		if refusal != nil && last != nil {
-			return nil, last
-		}
-		if refusal != nil {
-			return nil, refusal
-		}
-		head.BackendServer = server.Name
-		answer := h.ask(ctx, server, head, body)
-		if answer.Load.BackendServer != "" {
-			h.picker.Observe(time.Now(), answer.Load)
-		}
-		if answer.Reply != nil {
-			return answer.Reply, nil
-		}
-		if answer.Refusal.Outcome != state.OutcomeNotRun || ctx.Err() != nil {
-			return nil, answer.Refusal
-		}
-		tried = append(tried, server.Name)
-		last = answer.Refusal
+// serve answers a call, or returns the refusal to answer it with.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, ended *Ended) *state.Refusal {
+	if refusal := httpmap.CheckRequest(r, h.config.MaxHeaderFields); refusal != nil {
+		return refusal
 	}
-	return nil, last
-}
-
-// ask sends a call to the guard of one backend server.
-func (h *Handler) ask(
-	ctx context.Context,
-	server state.BackendServer,
-	head call.Head,
-	body callstream.Body,
-) callstream.Answer {
-	if server.Host == h.self {
-		reply, refusal := h.local.Handle(ctx, head, body.Reader())
-		if refusal != nil {
-			return callstream.Answer{Refusal: refusal, Load: h.local.Load(server.Name)}
-		}
-		return callstream.Answer{Reply: reply, Load: reply.Head.Load}
+	if ready, waitsFor := h.readiness.Ready(time.Now()); !ready {
+		return state.NotRun(state.RefusedNotReady, "the node is not ready: "+waitsFor)
 	}
-	host, ok := h.hosts.Host(server.Host)
+	snapshot := h.snapshots.Load()
+	route, ok := routing.Match(snapshot, httpmap.Host(r), r.URL.Path, r.Method)
 	if !ok {
-		return callstream.Answer{Refusal: state.NotRun(state.RefusedUnreachable, "the host of the backend server is not known")}
+		return state.NotRun(state.RefusedNoRoute, "no route matches the request")
 	}
-	stream, err := h.dialer.OpenCall(ctx, host, handshake.LaneOf(head.Class))
-	if err != nil {
-		return callstream.Answer{Refusal: state.NotRun(state.RefusedUnreachable, "the guard can't be reached")}
+	head := newHead(time.Now(), ended.ID, snapshot.Accepted(), route, r)
+	ended.Route, ended.Class, ended.Caller = head.Route, head.Class, head.Caller
+	if refusal := h.decisions.Limits.Begin(time.Now(), head.Caller, route); refusal != nil {
+		return refusal
 	}
-	return callstream.Do(ctx, stream, head, body)
-}
+	defer h.decisions.Limits.End(head.Caller)
 
-func newHead(id state.CallID, snapshot *state.Snapshot, route state.Route, r *http.Request) call.Head {
-	timeout := route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if given, err := time.ParseDuration(r.Header.Get(httpmap.HeaderTimeout)); err == nil && given > 0 {
-		timeout = min(timeout, given)
-	}
-	return call.Head{
-		ID:             id,
-		Ticket:         snapshot.Accepted(),
-		Route:          route.Name,
-		Class:          route.Class,
-		Caller:         state.CallerName(r.Header.Get(httpmap.HeaderCaller)),
-		Deadline:       time.Now().Add(timeout),
-		IdempotencyKey: r.Header.Get(httpmap.HeaderIdempotencyKey),
-		Idempotent:     route.Idempotent,
-		Method:         r.Method,
-		Target:         r.URL.RequestURI(),
-		Authority:      r.Host,
-		Fields:         httpmap.Fields(r.Header),
-		ContentLength:  r.ContentLength,
+	ctx, cancel := context.WithDeadline(r.Context(), head.Deadline)
+	defer cancel()
+	controller := http.NewResponseController(w)
+	body, refusal := h.readBody(controller, r, head.Deadline)
+	if refusal != nil {
+		return refusal
 	}
-}
-
-// hostOf returns the host that a request names, lower case and without port.
-func hostOf(r *http.Request) string {
-	host := r.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
+	defer body.release(controller)
+	head.Fingerprint = httpmap.Fingerprint(r, body.Prefix)
+	reply, refusal := h.dispatch(ctx, snapshot, route, head, &body.Body)
+	if refusal != nil {
+		return refusal
 	}
-	return strings.ToLower(host)
+	// A panic of writeReply tells the server to break the connection.
+	ended.Cut = true
+	h.writeReply(w, controller, reply)
+	ended.Cut = false
+	return nil
 }
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -60,9 +60,6 @@
 
 // gate returns the gate of a call's backend server.
 func (g *Guard) gate(head call.Head) (*gate, *state.Refusal) {
-	if g.leaving.Load() {
-		return nil, state.NotRun(state.RefusedDraining, "the node is leaving")
-	}
 	snapshot := g.snapshots.Load()
 	if snapshot.Accepted() < head.Ticket {
 		return nil, state.NotRun(state.RefusedBehind, "the guard has an older configuration than the entry node")
@@ -74,7 +71,8 @@
 	service, _ := snapshot.Service(server.Service)
 	gate := g.configured(server, service)
 	if g.leaving.Load() {
-		// Leave may have missed a gate that is new.
+		// Leave may have missed a gate that is new. The call is not refused
+		// here, as there may be a record of it.
 		gate.admission.Drain(time.Now())
 	}
 	return gate, nil
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -74,24 +74,36 @@
 	return gate.admission.Load()
 }
 
+// Loads returns the load hints of all backend servers that have had a call.
+func (g *Guard) Loads() []call.LoadHint {
+	var loads []call.LoadHint
+	for _, gate := range g.allGates() {
+		loads = append(loads, gate.admission.Load())
+	}
+	return loads
+}
+
+func (g *Guard) allGates() []*gate {
+	var gates []*gate
+	g.gates.Range(func(_ state.BackendServerName, gate *gate) bool {
+		gates = append(gates, gate)
+		return true
+	})
+	return gates
+}
+
 // Leave refuses all waiting and new calls from now on. Calls that run finish.
 func (g *Guard) Leave() {
 	g.leaving.Store(true)
-	g.gates.Range(func(_ state.BackendServerName, gate *gate) bool {
+	for _, gate := range g.allGates() {
 		gate.admission.Drain(time.Now())
-		return true
-	})
+	}
 }
 
 // AwaitDrained waits after Leave until no call runs any more. It returns the
 // context's error when ctx ends first.
 func (g *Guard) AwaitDrained(ctx context.Context) error {
-	var gates []*gate
-	g.gates.Range(func(_ state.BackendServerName, gate *gate) bool {
-		gates = append(gates, gate)
-		return true
-	})
-	for _, gate := range gates {
+	for _, gate := range g.allGates() {
 		select {
 		case <-gate.admission.Drained():
 		case <-ctx.Done():
@@ -106,8 +118,7 @@
 func (g *Guard) Shutdown() {
 	g.Leave()
 	g.cancel()
-	g.gates.Range(func(_ state.BackendServerName, gate *gate) bool {
+	for _, gate := range g.allGates() {
 		gate.transport.CloseIdleConnections()
-		return true
-	})
+	}
 }
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -54,6 +54,11 @@
 		cancel(err)
 		return nil, refusal
 	}
+	if response.StatusCode < http.StatusOK {
+		_ = response.Body.Close()
+		cancel(nil)
+		return nil, state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server changed the protocol")
+	}
 	return newReply(head.ID, response, func(result admission.Result) {
 		cancel(nil)
 		release(result)
--- /dev/null
+++ b/transport/metrics/calls.go
@@ -0,0 +1,103 @@
+// Package metrics counts and times calls for Prometheus.
+package metrics
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/entry"
+)
+
+// outcomeCut is the outcome of a call whose answer could not be given whole.
+const outcomeCut = "cut"
+
+// durationBuckets are the upper bounds of call times, in seconds.
+var durationBuckets = []float64{
+	0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
+}
+
+// callerBuckets are the upper bounds of call times by caller, in seconds.
+// There are few, as each of them is a series for every caller.
+var callerBuckets = []float64{0.005, 0.025, 0.1, 0.5, 2.5, 10}
+
+// Calls observes the calls of an entry node.
+type Calls struct {
+	durations *prometheus.HistogramVec
+	byCaller  *prometheus.HistogramVec
+	refused   *prometheus.CounterVec
+	retried   prometheus.Counter
+	inFlight  prometheus.Gauge
+	callers   *callerLabels
+
+	// answered holds the histograms of answered calls, which are most.
+	answered [state.ClassCount]prometheus.Observer
+}
+
+// NewCalls registers the metrics of calls.
+func NewCalls(registry prometheus.Registerer) (*Calls, error) {
+	calls := &Calls{
+		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "wasabiport_call_duration_seconds",
+			Help:    "Time from the arrival of a call at this entry node to the end of its answer.",
+			Buckets: durationBuckets,
+		}, []string{"class", "outcome"}),
+		byCaller: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "wasabiport_caller_call_duration_seconds",
+			Help:    "Time of the calls of one caller. Callers beyond the first are counted together as other.",
+			Buckets: callerBuckets,
+		}, []string{"caller"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wasabiport_calls_refused_total",
+			Help: "Calls that were refused, by class, reason and outcome.",
+		}, []string{"class", "reason", "outcome"}),
+		retried: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "wasabiport_call_retries_total",
+			Help: "Attempts of calls after the first one.",
+		}),
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "wasabiport_calls_in_flight",
+			Help: "Calls of callers that have no whole answer yet.",
+		}),
+		callers: newCallerLabels(maxCallerLabels),
+	}
+	for _, class := range state.Classes() {
+		calls.answered[class] = calls.durations.WithLabelValues(class.String(), state.OutcomeDone.String())
+	}
+	for _, collector := range []prometheus.Collector{
+		calls.durations, calls.byCaller, calls.refused, calls.retried, calls.inFlight,
+	} {
+		if err := registry.Register(collector); err != nil {
+			return nil, errors.Wrap(err, "register the metrics of calls")
+		}
+	}
+	return calls, nil
+}
+
+// Began counts a call that has come.
+func (c *Calls) Began() { c.inFlight.Inc() }
+
+// Retried counts one more attempt of a call.
+func (c *Calls) Retried() { c.retried.Inc() }
+
+// Ended counts a call whose answer, or refusal, has been written.
+func (c *Calls) Ended(ended entry.Ended) {
+	c.inFlight.Dec()
+	seconds := ended.Took.Seconds()
+	c.durationOf(ended).Observe(seconds)
+	c.byCaller.WithLabelValues(c.callers.label(ended.Caller)).Observe(seconds)
+	if ended.Reason != 0 {
+		c.refused.WithLabelValues(ended.Class.String(), ended.Reason.String(), ended.Outcome.String()).Inc()
+	}
+}
+
+func (c *Calls) durationOf(ended entry.Ended) prometheus.Observer {
+	switch {
+	case ended.Cut:
+		return c.durations.WithLabelValues(ended.Class.String(), outcomeCut)
+	case ended.Reason == 0:
+		return c.answered[ended.Class]
+	default:
+		return c.durations.WithLabelValues(ended.Class.String(), ended.Outcome.String())
+	}
+}
--- a/wire.go
+++ b/wire.go
@@ -11,6 +11,7 @@
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/peering"
 	"github.com/wasabiport/wasabiport/transport/platform"
 )
@@ -26,7 +27,10 @@
 	newLogger,
 	newGuard,
 	newPool,
+	newCallMetrics,
+	newDecisions,
 	newEntry,
+	newCallerServer,
 	newNode,
 	controlloop.New,
 	wire.Bind(new(controlloop.Source), new(*platform.Client)),
@@ -34,6 +38,7 @@
 	wire.Bind(new(entry.Hosts), new(*control.Plane)),
 	wire.Bind(new(entry.Readiness), new(*control.Plane)),
 	wire.Bind(new(entry.Dialer), new(*peering.Pool)),
+	wire.Bind(new(entry.Observer), new(*metrics.Calls)),
 	wire.Bind(new(callstream.Handler), new(*guard.Guard)),
 )
 
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -14,6 +14,7 @@
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/peering"
 	"github.com/wasabiport/wasabiport/transport/platform"
 )
@@ -32,12 +33,18 @@
 	loop := controlloop.New(plane, client, logger)
 	pool := newPool(config, wasabiportIncarnation, loop, guard)
 	picker := newPicker(config, plane)
-	handler := newEntry(config, snapshotStore, picker, plane, plane, pool, guard)
+	decisions := newDecisions(config, picker)
 	registry, err := newRegistry()
 	if err != nil {
 		return nil, err
 	}
-	node := newNode(config, snapshotStore, plane, guard, loop, pool, handler, registry)
+	calls, err := newCallMetrics(registry, guard)
+	if err != nil {
+		return nil, err
+	}
+	handler := newEntry(config, decisions, snapshotStore, plane, plane, pool, guard, calls)
+	server := newCallerServer(config, handler)
+	node := newNode(config, snapshotStore, plane, guard, loop, pool, handler, server, registry)
 	return node, nil
 }
 
@@ -54,6 +61,9 @@
 	newLogger,
 	newGuard,
 	newPool,
+	newCallMetrics,
+	newDecisions,
 	newEntry,
-	newNode, controlloop.New, wire.Bind(new(controlloop.Source), new(*platform.Client)), wire.Bind(new(picking.HostPhases), new(*control.Plane)), wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
+	newCallerServer,
+	newNode, controlloop.New, wire.Bind(new(controlloop.Source), new(*platform.Client)), wire.Bind(new(picking.HostPhases), new(*control.Plane)), wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(entry.Observer), new(*metrics.Calls)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
 )
