--- a/coordination/control/config.go
+++ b/coordination/control/config.go
@@ -107,7 +107,7 @@
 	return dissemination.Config{
 		SilenceTimeout:   c.silenceTimeout(),
 		HoldDown:         backoff.Policy{Base: 30 * time.Second, Max: 10 * time.Minute},
-		PassiveGrace:     2 * c.HeartbeatInterval,
+		PassiveGrace:     c.HeartbeatInterval / 2,
 		RepairInterval:   c.OfferInterval,
 		IsolatedInterval: 5 * c.HeartbeatInterval,
 	}
--- a/coordination/control/schedule.go
+++ b/coordination/control/schedule.go
@@ -27,8 +27,11 @@
 	random      *rand.Rand
 	latestAt    time.Time
 	heartbeatAt time.Time
-	statusAt    time.Time
-	redrawnAt   time.Time
+	// statusAt is when the next report is due; fullStatusAt is when the next
+	// one with all availability zones is.
+	statusAt     time.Time
+	fullStatusAt time.Time
+	redrawnAt    time.Time
 	// drawn is the generation of the hosts from which the trees were drawn.
 	drawn uint64
 	// dueAt is when the next Tick was to come.
@@ -43,8 +46,10 @@
 type due struct {
 	heartbeat bool
 	status    bool
-	redraw    bool
-	next      time.Time
+	// fullStatus says that the report has all availability zones.
+	fullStatus bool
+	redraw     bool
+	next       time.Time
 }
 
 // tick returns what is due and plans the next times.
@@ -57,11 +62,15 @@
 		status:    !now.Before(s.statusAt),
 		redraw:    s.redrawDue(now, generation),
 	}
+	work.fullStatus = work.status && !now.Before(s.fullStatusAt)
 	if work.heartbeat {
 		s.heartbeatAt = now.Add(s.around(s.config.HeartbeatInterval))
 	}
 	if work.status {
-		s.statusAt = now.Add(s.around(s.config.StatusInterval))
+		if work.fullStatus {
+			s.fullStatusAt = now.Add(s.around(s.config.StatusInterval))
+		}
+		s.statusAt = s.fullStatusAt
 	}
 	work.next = earliest(s.heartbeatAt, s.statusAt)
 	if generation != s.drawn && !work.redraw {
--- a/coordination/control/status.go
+++ b/coordination/control/status.go
@@ -30,12 +30,12 @@
 }
 
 // reportStatus tells the parent how far the subtree has come, and the children
-// how far the availability zones have. The root makes the report of its
-// availability zone and shares it with the other roots.
-func (p *Plane) reportStatus(now time.Time, output *Output) {
+// how far the availability zones have: only those that have changed, or all
+// of them. The root makes the report of its availability zone and shares it
+// with the other roots.
+func (p *Plane) reportStatus(now time.Time, output *Output, all bool) {
 	p.status.Forget(p.zonesOfHosts())
 	counts := p.status.Subtree(now, p.Head())
-	topology := p.links.Topology()
 	parent := p.links.Parent(statusTree)
 	switch {
 	case parent == "":
@@ -43,10 +43,14 @@
 	case p.peers.isConnected(parent):
 		output.send(parent, SubtreeStatus{Counts: counts})
 	}
-	zones := p.status.Zones(now)
+	zones := p.status.ChangedZones(now)
+	if all {
+		zones = p.status.Zones(now)
+	}
 	if len(zones) == 0 {
 		return
 	}
+	topology := p.links.Topology()
 	for _, name := range slices.Concat(topology.Roots, topology.Children) {
 		if p.peers.isConnected(name) {
 			output.send(name, FleetStatus{Zones: zones})
--- a/coordination/control/tick.go
+++ b/coordination/control/tick.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"slices"
 	"time"
 
+	"github.com/wasabiport/wasabiport/coordination/dissemination"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -20,34 +22,49 @@
 		p.spread(&output, p.offer(now), "")
 	}
 	if work.status {
-		p.reportStatus(now, &output)
+		p.reportStatus(now, &output, work.fullStatus)
 	}
 	return output, work.next
 }
 
-// checkPeers looks for silent peers and for suspicions that have lasted.
+// checkPeers looks for silent peers and for suspicions that have lasted. A
+// node that hears nobody accuses nobody.
 func (p *Plane) checkPeers(now time.Time, output *Output) {
 	sessions := p.peers.sessions()
-	heard := 0
-	for _, name := range p.peers.names() {
-		if now.Sub(sessions[name].HeardAt) <= p.config.silenceTimeout() {
-			heard++
-			continue
-		}
-		p.spreadNews(output, p.members.Silent(now, name), name)
-	}
-	for _, parent := range p.links.Check(now, sessions) {
+	checked := p.links.Check(now, sessions)
+	for _, parent := range checked.Replaced {
 		output.report(ParentReplaced{Parent: parent})
-		p.spreadNews(output, p.members.Silent(now, parent), parent)
 	}
-	p.spreadNews(output, p.members.Expire(now, heard > 0), "")
+	silent, heard := p.silentPeers(now, sessions)
 	if heard == 0 {
 		p.tickets.Isolated(now)
 		p.hostLists.Isolated(now)
+	} else {
+		for _, name := range append(silent, checked.Silent...) {
+			p.spreadNews(output, p.members.Silent(now, name), name)
+		}
+		p.spreadNews(output, p.members.Expire(now), "")
 	}
 	p.links.Repair(now, p.members.TreeHosts(now), heard == 0)
 }
 
+// silentPeers returns the connected peers that are silent, and the number of
+// those that are not.
+func (p *Plane) silentPeers(
+	now time.Time,
+	sessions map[state.HostName]dissemination.Session,
+) (silent []state.HostName, heard int) {
+	for name, session := range sessions {
+		if now.Sub(session.HeardAt) > p.config.silenceTimeout() {
+			silent = append(silent, name)
+		} else {
+			heard++
+		}
+	}
+	slices.Sort(silent)
+	return silent, heard
+}
+
 // noticePause finds that this process has not run for a while. What it
 // believed of others is then worth nothing until it has heard them again.
 func (p *Plane) noticePause(now time.Time) Output {
--- a/coordination/dissemination/links.go
+++ b/coordination/dissemination/links.go
@@ -51,8 +51,8 @@
 	random   *rand.Rand
 	topology *Topology
 	parents  [TreeCount]state.HostName
-	// chosenAt is when a parent was chosen or a passive link was drawn.
-	chosenAt  map[state.HostName]time.Time
+	// seenAt is when each drawn link was last alive, or when it was drawn.
+	seenAt    map[state.HostName]time.Time
 	avoided   map[state.HostName]avoidance
 	repair    []state.HostName
 	repairDue time.Time
@@ -70,7 +70,7 @@
 		config:   config,
 		random:   random,
 		topology: &Topology{},
-		chosenAt: make(map[state.HostName]time.Time),
+		seenAt:   make(map[state.HostName]time.Time),
 		avoided:  make(map[state.HostName]avoidance),
 	}
 }
@@ -103,17 +103,18 @@
 func (l *Links) forgetUndrawn(now time.Time) {
 	drawn := make(map[state.HostName]time.Time)
 	for _, name := range l.drawn() {
-		at, known := l.chosenAt[name]
+		at, known := l.seenAt[name]
 		if !known {
 			at = now
 		}
 		drawn[name] = at
 	}
-	l.chosenAt = drawn
+	l.seenAt = drawn
 }
 
 func (l *Links) drawn() []state.HostName {
-	return slices.Concat(l.parents[:], l.topology.Roots, l.topology.Children)
+	drawn := slices.Concat(l.parents[:], l.topology.Roots, l.topology.Children)
+	return slices.DeleteFunc(drawn, func(name state.HostName) bool { return name == "" })
 }
 
 // chooseParents takes in each tree the best candidate that is not avoided and
@@ -124,7 +125,9 @@
 		parent := l.bestParent(now, tree, candidates)
 		if parent != l.parents[tree] {
 			l.parents[tree] = parent
-			l.chosenAt[parent] = now
+			if parent != "" {
+				l.seenAt[parent] = now
+			}
 		}
 	}
 }
@@ -147,34 +150,45 @@
 func (l *Links) Resumed(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name := range l.chosenAt {
-		l.chosenAt[name] = now
+	for name := range l.seenAt {
+		l.seenAt[name] = now
 	}
 }
 
-// Check replaces parents that are silent or out of reach and returns them.
-func (l *Links) Check(now time.Time, sessions map[state.HostName]Session) []state.HostName {
+// Checked is what Check has found.
+type Checked struct {
+	// Silent are the drawn peers that are silent or out of reach.
+	Silent []state.HostName
+	// Replaced are the parents among them, which were replaced.
+	Replaced []state.HostName
+}
+
+// Check finds drawn peers that are silent or out of reach and replaces the
+// parents among them.
+func (l *Links) Check(now time.Time, sessions map[state.HostName]Session) Checked {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var replaced []state.HostName
-	for _, parent := range l.parents {
-		if parent == "" || !l.isSilent(now, parent, sessions[parent]) {
-			continue
+	var checked Checked
+	for name, seenAt := range l.seenAt {
+		session := sessions[name]
+		if session.Connected && session.HeardAt.After(seenAt) {
+			seenAt = session.HeardAt
+			l.seenAt[name] = seenAt
+		}
+		if now.Sub(seenAt) > l.config.SilenceTimeout {
+			checked.Silent = append(checked.Silent, name)
+		}
+	}
+	slices.Sort(checked.Silent)
+	for _, name := range checked.Silent {
+		if slices.Contains(l.parents[:], name) {
+			l.avoid(now, name)
+			checked.Replaced = append(checked.Replaced, name)
 		}
-		l.avoid(now, parent)
-		replaced = append(replaced, parent)
 	}
 	l.chooseParents(now)
 	l.forgetUndrawn(now)
-	return replaced
-}
-
-func (l *Links) isSilent(now time.Time, name state.HostName, session Session) bool {
-	since := l.chosenAt[name]
-	if session.Connected && session.HeardAt.After(since) {
-		since = session.HeardAt
-	}
-	return now.Sub(since) > l.config.SilenceTimeout
+	return checked
 }
 
 func (l *Links) avoid(now time.Time, name state.HostName) {
@@ -185,7 +199,7 @@
 	next := avoidance{times: old.times + 1}
 	next.until = now.Add(l.config.HoldDown.Bound(next.times))
 	l.avoided[name] = next
-	l.chosenAt[name] = now
+	l.seenAt[name] = now
 	for other, avoidance := range l.avoided {
 		if now.Sub(avoidance.until) > l.config.HoldDown.Max {
 			delete(l.avoided, other)
@@ -244,5 +258,5 @@
 // isOverdue reports whether the other side has not opened the session in
 // time.
 func (l *Links) isOverdue(now time.Time, name state.HostName, session Session) bool {
-	return !session.Connected && now.Sub(l.chosenAt[name]) >= l.config.PassiveGrace
+	return !session.Connected && now.Sub(l.seenAt[name]) >= l.config.PassiveGrace
 }
--- a/coordination/fleetstatus/collector.go
+++ b/coordination/fleetstatus/collector.go
@@ -22,6 +22,8 @@
 type timedCounts struct {
 	counts []HeadCount
 	at     time.Time
+	// changed says that the counts were not passed on since they changed.
+	changed bool
 }
 
 // aged returns the counts with their ages at now.
@@ -77,8 +79,10 @@
 		if present && !at.After(old.at) {
 			return old, true
 		}
-		changed = !sameHosts(old.counts, report.Counts)
-		return timedCounts{counts: mergeCounts(report.Counts), at: at}, true
+		next := timedCounts{counts: mergeCounts(report.Counts), at: at}
+		changed = !sameHosts(old.counts, next.counts)
+		next.changed = old.changed || changed
+		return next, true
 	})
 	return changed
 }
@@ -99,6 +103,22 @@
 	return reports
 }
 
+// ChangedZones returns the reports whose counts have changed since the last
+// call, ordered by name.
+func (c *Collector) ChangedZones(now time.Time) []ZoneReport {
+	var changed []ZoneReport
+	for _, report := range c.Zones(now) {
+		c.zones.Update(report.Zone, func(known timedCounts, present bool) (timedCounts, bool) {
+			if known.changed {
+				changed = append(changed, report)
+			}
+			known.changed = false
+			return known, present
+		})
+	}
+	return changed
+}
+
 // Forget drops the reports of availability zones without hosts.
 func (c *Collector) Forget(present map[state.AvailabilityZone]int) {
 	c.zones.RemoveIf(func(zone state.AvailabilityZone, _ timedCounts) bool {
--- a/coordination/membership/merge.go
+++ b/coordination/membership/merge.go
@@ -98,13 +98,10 @@
 }
 
 // Expire turns hosts gone whose suspicion has lasted for SuspicionTimeout, and
-// returns the news. Only a node in the host's own availability zone does so,
-// and only while it hears at least one other peer that could have contradicted
-// it. A cut between availability zones therefore makes nobody gone.
-func (t *Table) Expire(now time.Time, hearsOthers bool) []Sighting {
-	if !hearsOthers {
-		return nil
-	}
+// returns the news. Only a node in the host's own availability zone does so, so
+// that a cut between availability zones makes nobody gone. The caller has to
+// hear at least one other peer, which could have contradicted the suspicion.
+func (t *Table) Expire(now time.Time) []Sighting {
 	var expired []state.HostName
 	t.members.Range(func(name state.HostName, m member) bool {
 		if t.isExpired(now, m) {
