Measure how far a node has come, and list all metrics on a page

Cause: operators had no metric on tickets, and no page of metrics. Change: gauges for the latest judged ticket, the one in force, readiness and the age of the source's confirmation; docs/METRICS.md is generated from what a node registers and compared by a test. All fields of the library's Config that a daemon can set are settings now, and a test fails for one that is not or that is not taken over.

--- a/cmd/wasabiport/node.go
+++ b/cmd/wasabiport/node.go
@@ -91,5 +91,11 @@
 	config.SourceRetryInterval = loaded.SourceRetryInterval
 	config.HandshakeTimeout = loaded.HandshakeTimeout
 	config.RedialInterval = loaded.RedialInterval
+	config.LeaveDelay = loaded.LeaveDelay
+	config.MaxBodyBytes = loaded.MaxBodyBytes
+	config.MaxHeaderBytes = loaded.MaxHeaderBytes
+	config.MaxHeaderFields = loaded.MaxHeaderFields
+	config.MaxConnectionsPerAddress = loaded.MaxConnectionsPerAddress
+	config.StallTimeout = loaded.StallTimeout
 	return config
 }
--- /dev/null
+++ b/cmd/wasabiport/node_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport"
+	"github.com/wasabiport/wasabiport/cmd/wasabiport/settings"
+)
+
+// programOnly are the fields that only an embedding program sets.
+var programOnly = []string{"Self", "Seed", "Network", "HTTPClient", "Logger"}
+
+func TestEveryFieldOfTheLibraryIsASettingAndTakenOver(t *testing.T) {
+	loaded := settings.DefaultNode()
+	fields := reflect.ValueOf(&loaded).Elem()
+	for i := range fields.NumField() {
+		field := fields.Field(i)
+		if field.CanInt() {
+			field.SetInt(int64(i + 1))
+		}
+		if field.Kind() == reflect.String {
+			field.SetString(fields.Type().Field(i).Name)
+		}
+	}
+	config := reflect.ValueOf(nodeConfig(loaded, logr.Discard()))
+	for i := range config.NumField() {
+		name := config.Type().Field(i).Name
+		setting := fields.FieldByName(name)
+		if !setting.IsValid() {
+			require.Contains(t, programOnly, name, "wasabiport.Config.%s is not a setting", name)
+			continue
+		}
+		require.Equal(t, setting.Interface(), config.Field(i).Interface(), name)
+	}
+	require.Equal(t, wasabiport.DefaultConfig().LeaveDelay, settings.DefaultNode().LeaveDelay)
+}
--- a/cmd/wasabiport/settings/node.go
+++ b/cmd/wasabiport/settings/node.go
@@ -30,6 +30,13 @@
 	HandshakeTimeout    time.Duration `flag:"handshake-timeout" rule:"positive" usage:"longest time to open a session to another node"`
 	RedialInterval      time.Duration `flag:"redial-interval" rule:"positive" usage:"time between two tries to reach another node"`
 
+	LeaveDelay               time.Duration `flag:"leave-delay" rule:"positive" usage:"time for which a leaving node still accepts callers; a longer one lets slower load balancers turn away"`
+	MaxBodyBytes             int64         `flag:"max-body-bytes" rule:"positive" usage:"largest body of a request, in bytes"`
+	MaxHeaderBytes           int           `flag:"max-header-bytes" rule:"positive" usage:"largest size of the headers of a request, in bytes"`
+	MaxHeaderFields          int           `flag:"max-header-fields" rule:"positive" usage:"largest number of header fields of a request"`
+	MaxConnectionsPerAddress int           `flag:"max-connections-per-address" rule:"positive" usage:"connections of callers from one IP address; more helps callers behind one proxy, fewer keeps one address from taking all"`
+	StallTimeout             time.Duration `flag:"stall-timeout" rule:"positive" usage:"time that a caller may take to read a part of its answer; a shorter one frees slots sooner and cuts slower callers off"`
+
 	LogFormat events.Format `flag:"log-format" rule:"format" usage:"form of log lines: text or json"`
 	LogLevel  events.Level  `flag:"log-level" rule:"level" usage:"least important level that is logged: error, info or debug"`
 }
@@ -39,14 +46,20 @@
 func DefaultNode() Node {
 	library := wasabiport.DefaultConfig()
 	return Node{
-		CallerAddress:       "0.0.0.0:8080",
-		OperatorAddress:     "127.0.0.1:9090",
-		LeaveTimeout:        defaultLeaveTimeout,
-		OfferInterval:       library.OfferInterval,
-		SourceRetryInterval: library.SourceRetryInterval,
-		HandshakeTimeout:    library.HandshakeTimeout,
-		RedialInterval:      library.RedialInterval,
-		LogFormat:           events.FormatText,
-		LogLevel:            events.LevelInfo,
+		CallerAddress:            "0.0.0.0:8080",
+		OperatorAddress:          "127.0.0.1:9090",
+		LeaveTimeout:             defaultLeaveTimeout,
+		OfferInterval:            library.OfferInterval,
+		SourceRetryInterval:      library.SourceRetryInterval,
+		HandshakeTimeout:         library.HandshakeTimeout,
+		RedialInterval:           library.RedialInterval,
+		LeaveDelay:               library.LeaveDelay,
+		MaxBodyBytes:             library.MaxBodyBytes,
+		MaxHeaderBytes:           library.MaxHeaderBytes,
+		MaxHeaderFields:          library.MaxHeaderFields,
+		MaxConnectionsPerAddress: library.MaxConnectionsPerAddress,
+		StallTimeout:             library.StallTimeout,
+		LogFormat:                events.FormatText,
+		LogLevel:                 events.LevelInfo,
 	}
 }
--- a/cmd/wasabiport/settings/rule.go
+++ b/cmd/wasabiport/settings/rule.go
@@ -4,9 +4,9 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"reflect"
 	"regexp"
 	"strings"
-	"time"
 
 	"github.com/wasabiport/wasabiport/transport/events"
 )
@@ -43,7 +43,7 @@
 		return ""
 	},
 	"positive": func(value any) string {
-		if value.(time.Duration) <= 0 {
+		if reflect.ValueOf(value).Int() <= 0 {
 			return "must be more than 0"
 		}
 		return ""
--- a/cmd/wasabiport/settings/setting.go
+++ b/cmd/wasabiport/settings/setting.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -128,6 +129,12 @@
 			return nil, `must be a duration with a unit, such as "250ms"`
 		}
 		return duration, ""
+	case int, int64:
+		number, err := strconv.ParseInt(text, 10, strconv.IntSize)
+		if err != nil {
+			return nil, "must be a whole number"
+		}
+		return reflect.ValueOf(number).Convert(reflect.TypeOf(like)).Interface(), ""
 	case bool:
 		return parseBool(text)
 	case events.Level:
--- a/cmd/wasabiport/settings/settings_test.go
+++ b/cmd/wasabiport/settings/settings_test.go
@@ -47,6 +47,8 @@
 		{"--platform-url=10.0.0.5", `--platform-url (or WASABIPORT_PLATFORM_URL) must be an http or https URL, such as http://10.0.0.5:7070, but is "10.0.0.5"`},
 		{"--offer-interval=5", `--offer-interval (or WASABIPORT_OFFER_INTERVAL) must be a duration with a unit, such as "250ms", but is "5"`},
 		{"--leave-timeout=-1s", `--leave-timeout (or WASABIPORT_LEAVE_TIMEOUT) must be more than 0, but is "-1s"`},
+		{"--max-body-bytes=1GB", `--max-body-bytes (or WASABIPORT_MAX_BODY_BYTES) must be a whole number, but is "1GB"`},
+		{"--max-header-bytes=0", `--max-header-bytes (or WASABIPORT_MAX_HEADER_BYTES) must be more than 0, but is "0"`},
 		{"--log-format=xml", `--log-format (or WASABIPORT_LOG_FORMAT) must be text or json, but is "xml"`},
 		{"--log-level=loud", `--log-level (or WASABIPORT_LOG_LEVEL) must be error, info or debug, but is "loud"`},
 	}
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -20,6 +20,7 @@
 		want    string
 	}{
 		{"EVENTS.md", "events", eventsTable()},
+		{"METRICS.md", "metrics", metricsTable(t)},
 		{"OPERATORS.md", "settings", settingsTable()},
 	}
 	for _, tc := range cases {
--- a/node.go
+++ b/node.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/state"
@@ -43,6 +44,7 @@
 	guard     *guard.Guard
 	loop      *controlloop.Loop
 	pool      *peering.Pool
+	registry  *prometheus.Registry
 	entry     *entry.Handler
 	callers   *http.Server
 	operators *http.Server
--- a/providers.go
+++ b/providers.go
@@ -154,7 +154,10 @@
 	handler *entry.Handler,
 	callers *http.Server,
 	registry *prometheus.Registry,
-) *Node {
+) (*Node, error) {
+	if err := metrics.RegisterDistribution(registry, plane); err != nil {
+		return nil, err
+	}
 	node := &Node{
 		config:    config,
 		snapshots: snapshots,
@@ -162,6 +165,7 @@
 		guard:     guard,
 		loop:      loop,
 		pool:      pool,
+		registry:  registry,
 		entry:     handler,
 		callers:   callers,
 	}
@@ -169,5 +173,5 @@
 		Handler:           operator.NewHandler(config.Self, node, registry),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
-	return node
+	return node, nil
 }
--- /dev/null
+++ b/transport/metrics/distribution_test.go
@@ -0,0 +1,40 @@
+package metrics
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/control"
+)
+
+type fakePlane struct{ confirmed bool }
+
+func (fakePlane) Head() control.Head             { return control.Head{Judged: 5, Accepted: 4} }
+func (fakePlane) Ready(time.Time) (bool, string) { return true, "" }
+func (p fakePlane) Staleness(time.Time) (time.Duration, bool) {
+	return 1500 * time.Millisecond, p.confirmed
+}
+
+func TestDistributionMetrics(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	require.NoError(t, RegisterDistribution(registry, fakePlane{confirmed: true}))
+	require.NoError(t, testutil.GatherAndCompare(registry, strings.NewReader(`
+# HELP wasabiport_source_confirmed_age_seconds Time since the platform has confirmed the configuration in force, here or at a node that passed it on. Absent when it never has.
+# TYPE wasabiport_source_confirmed_age_seconds gauge
+wasabiport_source_confirmed_age_seconds 1.5
+# HELP wasabiport_ticket_in_force Number of the latest accepted ticket, which is in force on this node.
+# TYPE wasabiport_ticket_in_force gauge
+wasabiport_ticket_in_force 4
+`), "wasabiport_source_confirmed_age_seconds", "wasabiport_ticket_in_force"))
+
+	registry = prometheus.NewRegistry()
+	require.NoError(t, RegisterDistribution(registry, fakePlane{}))
+	count, err := testutil.GatherAndCount(registry)
+	require.NoError(t, err)
+	require.Equal(t, 3, count, "no age when the source has never confirmed")
+}
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -44,7 +44,10 @@
 	}
 	handler := newEntry(config, decisions, snapshotStore, plane, plane, pool, guard, calls)
 	server := newCallerServer(config, handler)
-	node := newNode(config, snapshotStore, plane, guard, loop, pool, handler, server, registry)
+	node, err := newNode(config, snapshotStore, plane, guard, loop, pool, handler, server, registry)
+	if err != nil {
+		return nil, err
+	}
 	return node, nil
 }
 
