Keep a key at one guard while the configuration changes

A property test with guards that restart, drain, are cut off, and learn tickets at different times found a double run: an entry node and a guard with different memberships disagreed on who had declined a key. A second one came from a node that had just started and took over a key while nodes that were behind still ran it elsewhere.

The guard now compares the ticket of the entry node with the latest change of the membership, and refuses keys that were made before a change had time to settle (20 s). A refusal says "may have run" unless the record of the key was read.

--- a/coordination/admission/property_test.go
+++ b/coordination/admission/property_test.go
@@ -1,6 +1,8 @@
 package admission_test
 
 import (
+	"flag"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -162,3 +164,12 @@
 		}
 	})
 }
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"seed": "1", "nofailfile": "true"} {
+		if err := flag.Set("rapid."+name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/coordination/callrecord/config.go
+++ b/coordination/callrecord/config.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
-	"github.com/wasabiport/wasabiport/state"
 )
 
 // Defaults of Config.
@@ -18,13 +17,15 @@
 	DefaultMaxReplyBytes = 64 << 10
 	DefaultRetention     = 10 * time.Minute
 	DefaultClockSkew     = 2 * time.Second
+	DefaultSettle        = 20 * time.Second
 )
 
 // Owners tells since when this node has been the one to ask for a key.
 type Owners interface {
-	// Since returns the time from which the backend server self has been
-	// asked for key, or the zero time when it has been all along.
-	Since(service state.ServiceName, self state.BackendServerName, key keyowner.Key) time.Time
+	// Since returns the time from which the backend server that asks has been
+	// asked for the key, or the zero time when it has been all along. It
+	// returns false when it is not asked for the key.
+	Since(query keyowner.Query) (time.Time, bool)
 }
 
 // Config holds the settings of Records.
@@ -52,6 +53,13 @@
 	// makes UUIDv7 keys and the clock of this node. Keys that are newer than
 	// Started by less than this are refused. Default 2 seconds.
 	ClockSkew time.Duration
+	// Settle is the time within which a change of the configuration reaches
+	// every node that is in contact. Keys are refused when they were made less
+	// than this after the membership of the service came into force here, as
+	// nodes that are behind may still run them elsewhere. A longer time
+	// refuses more calls after a change, and a shorter one lets a key run
+	// twice when a change takes longer. Default 20 seconds.
+	Settle time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -70,5 +78,8 @@
 	if c.ClockSkew == 0 {
 		c.ClockSkew = DefaultClockSkew
 	}
+	if c.Settle == 0 {
+		c.Settle = DefaultSettle
+	}
 	return c
 }
--- a/coordination/callrecord/key.go
+++ b/coordination/callrecord/key.go
@@ -17,7 +17,10 @@
 // node that was asked for the key before, or so long ago that its record is
 // forgotten.
 func (r *Records) refuseOldKey(now time.Time, head call.Head, service state.Service) *state.Refusal {
-	since := r.recordsSince(head, service)
+	since, owned := r.recordsSince(head, service)
+	if !owned {
+		return mayHaveRunElsewhere()
+	}
 	retention := r.retentionOf(service)
 	made, ok := keyTime(head.IdempotencyKey)
 	if ok && !made.After(now.Add(r.config.ClockSkew)) {
@@ -42,17 +45,22 @@
 }
 
 // recordsSince returns the time from which every call with the key of head has
-// left its record here.
-func (r *Records) recordsSince(head call.Head, service state.Service) time.Time {
-	since := r.config.Started
+// left its record here, or false when other nodes are asked for the key.
+func (r *Records) recordsSince(head call.Head, service state.Service) (time.Time, bool) {
+	started := r.config.Started
 	if r.config.Owners == nil {
-		return since
+		return started, true
 	}
-	key := keyowner.Key{Caller: head.Caller, Value: head.IdempotencyKey}
-	if owned := r.config.Owners.Since(service.Name, head.BackendServer, key); owned.After(since) {
-		return owned
+	since, owned := r.config.Owners.Since(keyowner.Query{
+		Service: service.Name,
+		Self:    head.BackendServer,
+		Ticket:  head.Ticket,
+		Key:     keyowner.Key{Caller: head.Caller, Value: head.IdempotencyKey},
+	})
+	if settled := since.Add(r.config.Settle); settled.After(started) {
+		return settled, owned
 	}
-	return since
+	return started, owned
 }
 
 func (r *Records) retentionOf(service state.Service) time.Duration {
--- a/coordination/callrecord/records_test.go
+++ b/coordination/callrecord/records_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -207,3 +208,36 @@
 	require.Zero(t, records.Len(settled.Add(retention)))
 	require.Equal(t, 14, refusals+len(claims))
 }
+
+// takeover is the time from which all keys are owned.
+type takeover struct{ since time.Time }
+
+func (o takeover) Since(keyowner.Query) (time.Time, bool) { return o.since, !o.since.IsZero() }
+
+func TestKeysThatWereTakenOver(t *testing.T) {
+	const margin = callrecord.DefaultSettle + callrecord.DefaultClockSkew
+	taken := settled
+	tests := map[string]struct {
+		owners takeover
+		made   time.Time
+		kind   callrecord.ClaimKind
+	}{
+		"made before the takeover": {owners: takeover{taken}, made: taken.Add(-time.Second), kind: callrecord.ClaimRefused},
+		"made while nodes may be behind": {
+			owners: takeover{taken}, made: taken.Add(margin - time.Millisecond), kind: callrecord.ClaimRefused,
+		},
+		"made later":      {owners: takeover{taken}, made: taken.Add(margin + time.Millisecond), kind: callrecord.ClaimRun},
+		"not taken over":  {made: taken.Add(time.Hour), kind: callrecord.ClaimRefused},
+		"long since ours": {owners: takeover{started.Add(-time.Hour)}, made: started.Add(time.Minute), kind: callrecord.ClaimRun},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			records := callrecord.New(callrecord.Config{Started: started, Owners: test.owners})
+			claim := records.Begin(test.made.Add(time.Second), payment(keyMadeAt(test.made)), service)
+			require.Equal(t, test.kind, claim.Kind)
+			if test.kind == callrecord.ClaimRefused {
+				require.Equal(t, state.OutcomeMayHaveRun, claim.Refusal.Outcome)
+			}
+		})
+	}
+}
--- a/coordination/callrecord/refusals.go
+++ b/coordination/callrecord/refusals.go
@@ -16,6 +16,10 @@
 		"the idempotency key is older than the time for which outcomes are kept")
 }
 
+func mayHaveRunElsewhere() *state.Refusal {
+	return state.MayHaveRun(state.RefusedBehind, "another node keeps the record of the idempotency key")
+}
+
 func replyNotKept() *state.Refusal {
 	return state.MayHaveRun(state.RefusedConflict,
 		"the call with this idempotency key is done; its reply was too large to be kept")
--- a/coordination/picking/picking_test.go
+++ b/coordination/picking/picking_test.go
@@ -1,8 +1,10 @@
 package picking_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
@@ -276,3 +278,12 @@
 		_, _ = picker.Pick(epoch, snapshot, service, nil)
 	}
 }
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"seed": "1", "nofailfile": "true"} {
+		if err := flag.Set("rapid."+name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
