Log when a node begins to serve callers

Cause: the event node-ready was in the catalogue, but nothing logged it. Change: the tick thread asks the plane after each tick and logs it once, with the time since the start.

--- a/transport/controlloop/logging.go
+++ b/transport/controlloop/logging.go
@@ -1,6 +1,8 @@
 package controlloop
 
 import (
+	"time"
+
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/events"
@@ -52,3 +54,16 @@
 		return nil
 	}
 }
+
+// reportReady logs once that the node is ready for callers.
+func (l *Loop) reportReady(now time.Time) {
+	if l.reportedReady {
+		return
+	}
+	ready, _ := l.plane.Ready(now)
+	if !ready {
+		return
+	}
+	l.reportedReady = true
+	events.Log(l.logger, events.NodeReady{Ticket: l.plane.Head().Accepted, After: now.Sub(l.started)})
+}
--- a/transport/controlloop/loop.go
+++ b/transport/controlloop/loop.go
@@ -49,6 +49,9 @@
 	kept    map[state.HostName]keeping
 	threads sync.WaitGroup
 	cancel  context.CancelFunc
+	started time.Time
+	// reportedReady is used by the tick thread alone.
+	reportedReady bool
 }
 
 // keeping is a session that is held to a wanted peer.
@@ -75,6 +78,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l.peers = peers
 	l.cancel = cancel
+	l.started = time.Now()
 	l.threads.Go(func() { l.readTickets(ctx) })
 	l.threads.Go(func() { l.readHosts(ctx) })
 	l.threads.Go(func() { l.tick(ctx) })
@@ -133,6 +137,7 @@
 		output, next := l.plane.Tick(time.Now())
 		l.keepWanted(ctx)
 		l.deliver(output)
+		l.reportReady(time.Now())
 		wake(l.ticketsWoken)
 		wake(l.hostsWoken)
 		if waitUntil(ctx, next, l.tickWoken) == ended {
--- a/transport/controlloop/loop_test.go
+++ b/transport/controlloop/loop_test.go
@@ -106,3 +106,31 @@
 		require.Equal(t, []state.HostPhase{state.HostLeaving}, said)
 	})
 }
+
+// oneTicketSource has one ticket and a host list with one host.
+type oneTicketSource struct{}
+
+func (oneTicketSource) Tickets(ctx context.Context, after state.TicketNumber, _ time.Duration) ([]state.Ticket, error) {
+	if after == 0 {
+		return []state.Ticket{{Number: 1}}, nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (oneTicketSource) Hosts(ctx context.Context, after uint64, _ time.Duration) (state.HostList, error) {
+	if after == 0 {
+		return state.HostList{Version: 1, Hosts: []state.Host{{Name: "self", Zone: "north"}}}, nil
+	}
+	<-ctx.Done()
+	return state.HostList{}, ctx.Err()
+}
+
+func TestReadinessIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		loop, _, log := startLoop(t, oneTicketSource{})
+		time.Sleep(time.Minute)
+		loop.Shutdown()
+		require.Equal(t, 1, strings.Count(log.String(), "msg=node-ready event=102 ticket=1 "), log.String())
+	})
+}
