Bring about the failures of the call path over sockets

Whole nodes on the in-memory network, callers of HTTP/1.1 and HTTP/2: refused and forged requests, cut answers, cancellation, answers without body and with trailers, a caller that stops reading, and a rolling restart of all nodes under load. "OPTIONS *" is now refused by the handler; the server answered it with 200 by itself.

--- /dev/null
+++ b/callpath_test.go
@@ -0,0 +1,381 @@
+package wasabiport_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/internal/standin"
+	"github.com/wasabiport/wasabiport/internal/virtualtime"
+)
+
+// strangeAddress is where a test's own backend server listens.
+const strangeAddress = "192.0.2.200:8080"
+
+// serveStrange puts handler in the place of all backend servers.
+func (f *fleet) serveStrange(handler http.HandlerFunc) {
+	f.serve(strangeAddress, handler)
+	ticket := f.deskTicket(1)
+	for i := range ticket.Set.BackendServers {
+		ticket.Set.BackendServers[i].Address = strangeAddress
+	}
+	f.fileTicket(ticket)
+	time.Sleep(10 * time.Second)
+}
+
+// exchange writes raw to a node and returns the response to it.
+func (f *fleet) exchange(raw string) *http.Response {
+	conn, err := f.network.Dial(f.t.Context(), callerAddress(0))
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = conn.Close() })
+	go func() { _, _ = io.WriteString(conn, raw) }()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(f.t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(f.t, err)
+	return response
+}
+
+func TestRequestsThatBreakARuleAreRefused(t *testing.T) {
+	const end = "Host: desk\r\n\r\n"
+	tests := map[string]struct {
+		raw    string
+		status int
+	}{
+		"connect":            {"CONNECT desk:80 HTTP/1.1\r\n" + end, http.StatusNotImplemented},
+		"websocket":          {"GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n" + end, http.StatusNotImplemented},
+		"dot segments":       {"GET /public/%2e%2e/admin HTTP/1.1\r\n" + end, http.StatusBadRequest},
+		"target is no path":  {"OPTIONS * HTTP/1.1\r\n" + end, http.StatusBadRequest},
+		"two keys":           {"POST / HTTP/1.1\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n" + end, http.StatusBadRequest},
+		"too many fields":    {"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 200) + end, http.StatusBadRequest},
+		"headers too large":  {"GET / HTTP/1.1\r\nA: " + strings.Repeat("b", 80<<10) + "\r\n" + end, http.StatusRequestHeaderFieldsTooLarge},
+		"body too large":     {"POST / HTTP/1.1\r\nContent-Length: 2000000000\r\n" + end, http.StatusRequestEntityTooLarge},
+		"two lengths":        {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n" + end, http.StatusBadRequest},
+		"unknown coding":     {"POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n" + end, http.StatusNotImplemented},
+		"space before colon": {"GET / HTTP/1.1\r\nA : b\r\n" + end, http.StatusBadRequest},
+	}
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		defer f.stop()
+		f.fileTicket(f.deskTicket(1))
+		time.Sleep(10 * time.Second)
+		for name, test := range tests {
+			require.Equal(t, test.status, f.exchange(test.raw).StatusCode, name)
+		}
+		require.Zero(t, f.backends[0].RunsTotal())
+	})
+}
+
+func TestBodyThatLooksLikeARequestStaysABody(t *testing.T) {
+	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: desk\r\n\r\n"
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		defer f.stop()
+		received := make(chan string, 10)
+		f.serveStrange(func(_ http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			received <- r.URL.Path + " " + string(body)
+		})
+		// The length counts the chunk's size line only.
+		f.exchange(fmt.Sprintf("POST /first HTTP/1.1\r\nHost: desk\r\nContent-Length: 4\r\n"+
+			"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(smuggled), smuggled))
+		require.Equal(t, "/first "+smuggled, <-received)
+		require.Empty(t, received)
+	})
+}
+
+func TestFieldsOfOneConnectionAndOfTheSystemStopAtTheNode(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		defer f.stop()
+		seen := make(chan http.Header, 1)
+		f.serveStrange(func(w http.ResponseWriter, r *http.Request) {
+			seen <- r.Header
+			w.Header().Set("Wasabiport-Outcome", "not-run")
+			w.Header().Set("Connection", "X-Private")
+			w.Header().Set("X-Private", "1")
+			w.Header().Set("X-Public", "1")
+		})
+		response := f.exchange("GET / HTTP/1.1\r\nHost: desk\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-End: 1\r\n" +
+			"Wasabiport-Call-Id: forged\r\nWasabiport-Outcome: forged\r\nWasabiport-Caller: clinic-7\r\n" +
+			"Wasabiport-Timeout: 3s\r\nTE: trailers\r\n\r\n")
+		request := <-seen
+		require.Equal(t, "1", request.Get("X-End"))
+		require.Empty(t, request.Get("X-Hop"))
+		require.Empty(t, request.Get("TE"))
+		require.Empty(t, request.Get("Wasabiport-Outcome"))
+		require.Equal(t, response.Header.Get("Wasabiport-Call-Id"), request.Get("Wasabiport-Call-Id"))
+		require.NotEqual(t, "forged", request.Get("Wasabiport-Call-Id"))
+		require.Equal(t, "clinic-7", request.Get("Wasabiport-Caller"))
+		remaining, err := time.ParseDuration(request.Get("Wasabiport-Timeout"))
+		require.NoError(t, err)
+		require.LessOrEqual(t, remaining, 3*time.Second)
+		require.Equal(t, "done", response.Header.Get("Wasabiport-Outcome"))
+		require.Equal(t, "1", response.Header.Get("X-Public"))
+		require.Empty(t, response.Header.Get("X-Private"))
+	})
+}
+
+// callerClient returns a client that speaks one version of HTTP only.
+func (f *fleet) callerClient(http2 bool) *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(!http2)
+	protocols.SetUnencryptedHTTP2(http2)
+	transport := &http.Transport{
+		Protocols: protocols,
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return f.network.Dial(ctx, address)
+		},
+	}
+	f.t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// forBothVersions runs check with callers of HTTP/1.1 and of HTTP/2. Entry
+// and guard are two nodes.
+func forBothVersions(t *testing.T, handler http.HandlerFunc, check func(t *testing.T, f *fleet, client *http.Client)) {
+	for name, http2 := range map[string]bool{"HTTP/1.1": false, "HTTP/2": true} {
+		t.Run(name, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1)
+				defer f.stop()
+				f.serveStrange(handler)
+				client := f.callerClient(http2)
+				defer client.CloseIdleConnections()
+				check(t, f, client)
+			})
+		})
+	}
+}
+
+func TestCutAnswerIsNotEndedAsIfWhole(t *testing.T) {
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 100<<10))
+		panic(http.ErrAbortHandler)
+	}
+	forBothVersions(t, cut, func(t *testing.T, f *fleet, client *http.Client) {
+		response, err := client.Get("http://" + callerAddress(0) + "/")
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.Error(t, err)
+		_ = response.Body.Close()
+	})
+}
+
+func TestCancellationReachesTheBackendServer(t *testing.T) {
+	canceled := make(chan struct{}, 2)
+	hang := func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		canceled <- struct{}{}
+	}
+	forBothVersions(t, hang, func(t *testing.T, f *fleet, client *http.Client) {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callerAddress(0)+"/", nil)
+		require.NoError(t, err)
+		started := time.Now()
+		_, err = client.Do(request)
+		require.Error(t, err)
+		<-canceled
+		require.Less(t, time.Since(started), time.Second)
+	})
+}
+
+func TestAnswersWithoutBodyAndWithTrailers(t *testing.T) {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/204":
+			w.WriteHeader(http.StatusNoContent)
+		case "/304":
+			w.Header().Set("Etag", `"7"`)
+			w.WriteHeader(http.StatusNotModified)
+		case "/hints":
+			w.WriteHeader(http.StatusEarlyHints)
+			_, _ = io.WriteString(w, "whole")
+		case "/trailers":
+			w.Header().Set(http.TrailerPrefix+"X-Sum", "7")
+			_, _ = io.Copy(w, r.Body)
+		default:
+			w.Header().Set("Content-Length", "5")
+			_, _ = io.WriteString(w, "whole")
+		}
+	}
+	forBothVersions(t, handler, func(t *testing.T, f *fleet, client *http.Client) {
+		tests := []struct {
+			method, path string
+			status       int
+			body         string
+			length       int64
+		}{
+			{http.MethodHead, "/", http.StatusOK, "", 5},
+			{http.MethodGet, "/", http.StatusOK, "whole", 5},
+			{http.MethodGet, "/204", http.StatusNoContent, "", 0},
+			{http.MethodGet, "/304", http.StatusNotModified, "", 0},
+			{http.MethodGet, "/hints", http.StatusOK, "whole", 5},
+		}
+		for _, test := range tests {
+			request, err := http.NewRequestWithContext(t.Context(), test.method, "http://"+callerAddress(0)+test.path, nil)
+			require.NoError(t, err)
+			response, err := client.Do(request)
+			require.NoError(t, err, test.path)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, test.status, response.StatusCode)
+			require.Equal(t, test.body, string(body))
+			require.Equal(t, test.length, max(0, response.ContentLength))
+		}
+		long := strings.Repeat("y", 1<<20)
+		response, err := client.Post("http://"+callerAddress(0)+"/trailers", "text/plain", strings.NewReader(long))
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, len(long), len(body))
+		require.Equal(t, "7", response.Trailer.Get("X-Sum"))
+	})
+}
+
+func TestCallerThatDoesNotReadLosesItsConnection(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		defer f.stop()
+		ticket := f.deskTicket(1)
+		ticket.Set.Routes[0].Timeout = 10 * time.Minute
+		f.fileTicket(ticket)
+		time.Sleep(10 * time.Second)
+		conn, err := f.network.Dial(t.Context(), callerAddress(0))
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: desk\r\nStandin-Answer-Bytes: 1000000\r\n\r\n")
+		require.NoError(t, err)
+		time.Sleep(4 * time.Second)
+		_, err = conn.Write([]byte("x"))
+		require.NoError(t, err, "the connection ended before the caller was slow")
+		time.Sleep(time.Minute)
+		n, err := io.Copy(io.Discard, conn)
+		require.NoError(t, err)
+		require.Less(t, n, int64(1_000_000))
+	})
+}
+
+func TestRollingRestartUnderLoadLosesNothing(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		defer f.stop()
+		ticket := f.deskTicket(1)
+		ticket.Set.Routes[0].Timeout = time.Minute
+		f.fileTicket(ticket)
+		time.Sleep(10 * time.Second)
+		load := startLoad(f, 12)
+		for i := range f.nodes {
+			require.NoError(t, f.nodes[i].Leave(t.Context()))
+			time.Sleep(time.Second)
+			node := f.startNode(i)
+			load.mu.Lock()
+			f.nodes[i] = node
+			load.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			require.NoError(t, node.Ready())
+		}
+		load.stop()
+		require.Empty(t, load.failures)
+		require.Greater(t, load.answered, 500)
+		runs := 0
+		for _, backend := range f.backends {
+			runs += backend.RunsTotal()
+		}
+		require.Equal(t, load.answered, runs, "a call ran twice or was not answered")
+	})
+}
+
+// load is a number of callers that call nodes which say that they are ready.
+type load struct {
+	fleet   *fleet
+	threads sync.WaitGroup
+	ended   chan struct{}
+
+	mu       sync.Mutex
+	answered int
+	failures []string
+}
+
+func startLoad(f *fleet, callers int) *load {
+	l := &load{fleet: f, ended: make(chan struct{})}
+	for i := range callers {
+		l.threads.Go(func() { l.run(i) })
+	}
+	return l
+}
+
+func (l *load) stop() {
+	close(l.ended)
+	l.threads.Wait()
+}
+
+func (l *load) run(caller int) {
+	client := l.fleet.callerClient(false)
+	defer client.CloseIdleConnections()
+	for serial := caller; ; serial++ {
+		select {
+		case <-l.ended:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		if node, ok := l.ready(serial); ok {
+			l.call(client, node, serial)
+		}
+	}
+}
+
+// ready returns the first ready node from serial on.
+func (l *load) ready(serial int) (int, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.fleet.nodes {
+		candidate := (serial + i) % len(l.fleet.nodes)
+		if l.fleet.nodes[candidate].Ready() == nil {
+			return candidate, true
+		}
+	}
+	return 0, false
+}
+
+func (l *load) call(client *http.Client, node, serial int) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+callerAddress(node)+"/", strings.NewReader("notice"))
+	if err != nil {
+		panic(err)
+	}
+	request.Header.Set(standin.HeaderServiceTime, "20ms")
+	if serial%10 == 0 {
+		request.Header.Set(standin.HeaderServiceTime, "3s")
+		request.Header.Set(standin.HeaderAnswerBytes, "100000")
+	}
+	response, err := client.Do(request)
+	failure := ""
+	switch {
+	case err != nil:
+		failure = err.Error()
+	case response.StatusCode != http.StatusOK:
+		failure = fmt.Sprint(response.StatusCode, response.Header.Get("Wasabiport-Reason"), response.Header.Get("Wasabiport-Outcome"))
+	default:
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	if err != nil {
+		failure = err.Error()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if failure != "" {
+		l.failures = append(l.failures, failure)
+		return
+	}
+	l.answered++
+}
--- a/transport/entry/server.go
+++ b/transport/entry/server.go
@@ -36,7 +36,9 @@
 		IdleTimeout:       config.IdleTimeout,
 		MaxHeaderBytes:    config.MaxHeaderBytes,
 		Protocols:         protocols,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConnection},
+		// The handler answers "OPTIONS *" like any other request.
+		DisableGeneralOptionsHandler: true,
+		HTTP2:                        &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConnection},
 	}
 }
 
