Note at a guard when its backend server was gone for a while

A backend server that was removed and set again by tickets kept the time from which it owned its keys, though others may have run them in between.

--- a/coordination/callrecord/atmostonce_test.go
+++ b/coordination/callrecord/atmostonce_test.go
@@ -79,7 +79,7 @@
 	builder := state.NewSnapshotBuilder(nil)
 	resources := state.Resources{Services: []state.Service{service}}
 	for _, name := range names {
-		resources.BackendServers = append(resources.BackendServers, state.BackendServer{Name: name, Service: service.Name})
+		resources.BackendServers = append(resources.BackendServers, state.BackendServer{Name: name, Service: service.Name, Host: hostOf(name)})
 	}
 	builder.Set(resources)
 	number := state.TicketNumber(len(m.tickets) + 1)
@@ -97,16 +97,12 @@
 }
 
 func (m *mesh) observe(guard *guardNode) {
-	membership := keyowner.Membership{
-		Ticket:  state.TicketNumber(guard.ticket + 1),
-		Serving: !guard.draining,
-	}
-	for _, server := range m.tickets[guard.ticket].BackendServersOf(service.Name) {
-		membership.Servers = append(membership.Servers, server.Name)
-	}
-	guard.history.Observe(m.now, service.Name, membership)
+	snapshot := m.tickets[guard.ticket]
+	guard.history.ObserveSnapshot(m.now, snapshot, hostOf(guard.name), guard.draining, 0)
 }
 
+func hostOf(name state.BackendServerName) state.HostName { return state.HostName("host of " + name) }
+
 // settle brings the newest ticket to every node.
 func (m *mesh) settle() {
 	newest := len(m.tickets) - 1
--- a/coordination/callrecord/key.go
+++ b/coordination/callrecord/key.go
@@ -17,7 +17,7 @@
 // node that was asked for the key before, or so long ago that its record is
 // forgotten.
 func (r *Records) refuseOldKey(now time.Time, head call.Head, service state.Service) *state.Refusal {
-	since, owned := r.recordsSince(head, service)
+	since, owned := r.recordsSince(head)
 	if !owned {
 		return mayHaveRunElsewhere()
 	}
@@ -46,16 +46,15 @@
 
 // recordsSince returns the time from which every call with the key of head has
 // left its record here, or false when other nodes are asked for the key.
-func (r *Records) recordsSince(head call.Head, service state.Service) (time.Time, bool) {
+func (r *Records) recordsSince(head call.Head) (time.Time, bool) {
 	started := r.config.Started
 	if r.config.Owners == nil {
 		return started, true
 	}
 	since, owned := r.config.Owners.Since(keyowner.Query{
-		Service: service.Name,
-		Self:    head.BackendServer,
-		Ticket:  head.Ticket,
-		Key:     keyowner.Key{Caller: head.Caller, Value: head.IdempotencyKey},
+		Self:   head.BackendServer,
+		Ticket: head.Ticket,
+		Key:    keyowner.Key{Caller: head.Caller, Value: head.IdempotencyKey},
 	})
 	if settled := since.Add(r.config.Settle); settled.After(started) {
 		return settled, owned
--- a/coordination/keyowner/history.go
+++ b/coordination/keyowner/history.go
@@ -21,14 +21,15 @@
 	Serving bool
 }
 
-// History remembers at a guard how the membership of services changed. It is
-// safe for use by many threads; services are in shards.
+// History remembers at a guard how the membership of the services of its
+// backend servers changed. It is safe for use by many threads; backend servers
+// are in shards.
 type History struct {
-	memory   time.Duration
-	services *state.ShardedMap[state.ServiceName, past]
+	memory  time.Duration
+	servers *state.ShardedMap[state.BackendServerName, past]
 }
 
-// past is what happened to one service. It is immutable.
+// past is what a guard remembers for one backend server. It is immutable.
 type past struct {
 	// ticket is the latest ticket that was observed.
 	ticket  state.TicketNumber
@@ -42,7 +43,6 @@
 
 // Query asks for the ownership of one key.
 type Query struct {
-	Service state.ServiceName
 	// Self is the backend server of the guard.
 	Self state.BackendServerName
 	// Ticket is the latest accepted ticket of the entry node that chose Self.
@@ -53,15 +53,59 @@
 // NewHistory returns a history that goes back as far as memory.
 func NewHistory(memory time.Duration) *History {
 	return &History{
-		memory:   memory,
-		services: state.NewShardedMap[state.ServiceName, past](state.DefaultShardCount),
+		memory:  memory,
+		servers: state.NewShardedMap[state.BackendServerName, past](state.DefaultShardCount),
 	}
 }
 
-// Observe notes the membership of a service from now on. It is called for each
-// ticket, whether it changes the membership or not.
-func (h *History) Observe(now time.Time, service state.ServiceName, membership Membership) {
-	h.services.Update(service, func(before past, _ bool) (past, bool) {
+// ObserveSnapshot notes what snapshot says for all backend servers on host. It
+// is called when the node starts, for each ticket, and when the node begins to
+// leave. age is how long other nodes are known to have had the memberships of
+// snapshot in force; 0 when nothing is known.
+func (h *History) ObserveSnapshot(
+	now time.Time,
+	snapshot *state.Snapshot,
+	host state.HostName,
+	leaving bool,
+	age time.Duration,
+) {
+	for _, server := range snapshot.Resources().BackendServers {
+		if server.Host != host {
+			continue
+		}
+		membership := Membership{
+			Ticket:  snapshot.Accepted(),
+			Age:     age,
+			Serving: !leaving && !server.Draining,
+		}
+		for _, other := range snapshot.BackendServersOf(server.Service) {
+			membership.Servers = append(membership.Servers, other.Name)
+		}
+		h.Observe(now, server.Name, membership)
+	}
+	for _, removed := range h.missingFrom(snapshot) {
+		h.Observe(now, removed, Membership{Ticket: snapshot.Accepted()})
+	}
+}
+
+// missingFrom returns the backend servers of this guard that are not in
+// snapshot. When one comes back, others may have run its keys.
+func (h *History) missingFrom(snapshot *state.Snapshot) []state.BackendServerName {
+	var missing []state.BackendServerName
+	h.servers.Range(func(name state.BackendServerName, _ past) bool {
+		if _, ok := snapshot.BackendServer(name); !ok {
+			missing = append(missing, name)
+		}
+		return true
+	})
+	return missing
+}
+
+// Observe notes the membership of the service of the backend server self from
+// now on. It is called for each ticket, whether it changes the membership or
+// not.
+func (h *History) Observe(now time.Time, self state.BackendServerName, membership Membership) {
+	h.servers.Update(self, func(before past, _ bool) (past, bool) {
 		next := past{ticket: membership.Ticket, changes: before.changes}
 		if len(before.changes) == 0 || !before.latest().sameAs(membership) {
 			added := append(slices.Clone(before.changes), change{at: now.Add(-membership.Age), membership: membership})
@@ -77,7 +121,7 @@
 // false when it is not asked for the key, and when the entry node and the
 // guard don't know the same membership.
 func (h *History) Since(query Query) (since time.Time, owned bool) {
-	known, ok := h.services.Get(query.Service)
+	known, ok := h.servers.Get(query.Self)
 	if !ok {
 		return time.Time{}, true
 	}
--- a/coordination/keyowner/keyowner_test.go
+++ b/coordination/keyowner/keyowner_test.go
@@ -73,9 +73,9 @@
 		t.Run(name, func(t *testing.T) {
 			history := keyowner.NewHistory(memory)
 			for i, membership := range test.changes {
-				history.Observe(at(i), "booking", membership)
+				history.Observe(at(i), test.self, membership)
 			}
-			since, owned := history.Since(keyowner.Query{Service: "booking", Self: test.self, Key: keyNumber(1)})
+			since, owned := history.Since(keyowner.Query{Self: test.self, Key: keyNumber(1)})
 			require.Equal(t, !test.lost, owned)
 			require.Equal(t, test.since, since)
 		})
@@ -85,14 +85,43 @@
 func TestSinceNeedsTheSameMembershipAtTheEntryNode(t *testing.T) {
 	history := keyowner.NewHistory(memory)
 	observe := func(ticket state.TicketNumber, servers []state.BackendServerName) {
-		history.Observe(epoch, "booking", keyowner.Membership{Ticket: ticket, Servers: servers, Serving: true})
+		history.Observe(epoch, servers[0], keyowner.Membership{Ticket: ticket, Servers: servers, Serving: true})
 	}
 	observe(1, servers[:1])
 	observe(2, servers)
 	observe(3, servers) // a ticket that changes something else
 	for ticket, same := range map[state.TicketNumber]bool{1: false, 2: true, 3: true, 4: false} {
-		query := keyowner.Query{Service: "booking", Self: servers[0], Ticket: ticket, Key: keyNumber(1)}
+		query := keyowner.Query{Self: servers[0], Ticket: ticket, Key: keyNumber(1)}
 		_, owned := history.Since(query)
 		require.Equal(t, same, owned, ticket)
 	}
 }
+
+func TestObserveSnapshotNotesThatABackendServerWasGone(t *testing.T) {
+	const host = "host-1"
+	snapshot := func(ticket state.TicketNumber, servers ...state.BackendServer) *state.Snapshot {
+		builder := state.NewSnapshotBuilder(nil)
+		builder.Set(state.Resources{BackendServers: servers})
+		return builder.Build(ticket, ticket)
+	}
+	own := state.BackendServer{Name: "booking-1", Service: "booking", Host: host}
+	other := state.BackendServer{Name: "booking-2", Service: "booking", Host: "host-2"}
+	query := func(ticket state.TicketNumber) keyowner.Query {
+		return keyowner.Query{Self: own.Name, Ticket: ticket, Key: keyNumber(1)}
+	}
+	history := keyowner.NewHistory(memory)
+	history.ObserveSnapshot(epoch, snapshot(1, own), host, false, time.Minute)
+	since, owned := history.Since(query(1))
+	require.True(t, owned)
+	require.Equal(t, epoch.Add(-time.Minute), since)
+
+	history.ObserveSnapshot(epoch, snapshot(2, other), host, false, 0)
+	_, owned = history.Since(query(2))
+	require.False(t, owned)
+
+	back := epoch.Add(time.Second)
+	history.ObserveSnapshot(back, snapshot(3, own), host, false, 0)
+	since, owned = history.Since(query(3))
+	require.True(t, owned)
+	require.Equal(t, back, since)
+}
