Read a source with a gap or old answers like one that fails

An answer was called old by the tickets that were known when it came, so a watch that was overtaken by a peer's push counted as stale, and a source with a gap was read five times a second by each reader. Answers are now compared with the number after which was asked: no progress means backoff.

Sightings get a total order, so that any order of arrival ends in the same phase; the property test failed on a leave that crossed a "gone".

Tests for threads that judge together (race detector), for status by availability zone, for membership, and for a cold start from a baseline whose predecessors the source does not keep any more.

--- /dev/null
+++ b/coordination/control/concurrency_test.go
@@ -0,0 +1,58 @@
+package control_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// TestThreadsJudgeTogether has many threads deliver the same tickets in orders
+// of their own while others read.
+func TestThreadsJudgeTogether(t *testing.T) {
+	const count, deliverers, readers = 100, 6, 3
+	plane, snapshots := newPlane(1)
+	delivered := make(chan struct{})
+	var delivering, reading sync.WaitGroup
+	for thread := range deliverers {
+		delivering.Go(func() {
+			random := rand.New(rand.NewPCG(uint64(thread), 5))
+			peer := state.HostName(rune('a' + thread))
+			plane.Connected(start, peer)
+			for _, i := range random.Perm(count) {
+				ticket := ticketOf(state.TicketNumber(i + 1))
+				plane.Receive(start, peer, control.Tickets{Tickets: []state.Ticket{ticket}})
+				plane.Receive(start, peer, control.Offer{Incarnation: 1, Heartbeat: uint64(i)})
+				plane.Tick(start.Add(time.Duration(i) * time.Millisecond))
+				plane.WantedPeers()
+			}
+			plane.Disconnected(start, peer)
+		})
+	}
+	seen := make([]state.TicketNumber, readers)
+	backwards := make([]bool, readers)
+	for reader := range readers {
+		reading.Go(func() {
+			for {
+				snapshot, changed := snapshots.LoadChanged()
+				backwards[reader] = backwards[reader] || snapshot.Judged() < seen[reader]
+				seen[reader] = max(snapshots.Load().Judged(), snapshot.Judged())
+				select {
+				case <-changed:
+				case <-delivered:
+					return
+				}
+			}
+		})
+	}
+	delivering.Wait()
+	close(delivered)
+	reading.Wait()
+	require.NotContains(t, backwards, true)
+	require.Equal(t, inOrder(count).Head(), snapshots.Load().Head())
+}
--- a/coordination/control/event.go
+++ b/coordination/control/event.go
@@ -57,8 +57,8 @@
 	Late time.Duration
 }
 
-// SourceAnsweredOld says that the source answered with older values than were
-// asked for.
+// SourceAnsweredOld says that the source answered with older tickets than were
+// asked for, or with some that wait behind a gap.
 type SourceAnsweredOld struct{}
 
 func (TicketGap) event()         {}
--- a/coordination/control/plane.go
+++ b/coordination/control/plane.go
@@ -29,6 +29,7 @@
 	tickets   *sourcereading.Plan
 	hostLists *sourcereading.Plan
 	status    *fleetstatus.Collector
+	cursor    *readCursor
 	inquiries *inquiries
 	schedule  *schedule
 	readiness *readiness
@@ -47,6 +48,7 @@
 		tickets:   sourcereading.NewPlan(config.sourceReading(), fork(random)),
 		hostLists: sourcereading.NewPlan(config.sourceReading(), fork(random)),
 		status:    fleetstatus.NewCollector(statusRetention * config.StatusInterval),
+		cursor:    &readCursor{},
 		inquiries: &inquiries{},
 		schedule:  newSchedule(config, fork(random)),
 		readiness: &readiness{},
--- a/coordination/control/source.go
+++ b/coordination/control/source.go
@@ -1,21 +1,43 @@
 package control
 
 import (
+	"sync"
 	"time"
 
 	"github.com/wasabiport/wasabiport/coordination/sourcereading"
 	"github.com/wasabiport/wasabiport/state"
 )
 
-// SourceAnswered takes the answer to a read of the tickets. It is called for
-// every answer, also for an empty one.
+// readCursor remembers where the latest read of the tickets started, because
+// tickets may come from peers while the source is still answering.
+type readCursor struct {
+	mu    sync.Mutex
+	after state.TicketNumber
+}
+
+func (c *readCursor) set(after state.TicketNumber) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.after = after
+}
+
+func (c *readCursor) get() state.TicketNumber {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.after
+}
+
+// SourceAnswered takes the answer to a read of the tickets that
+// NextSourceRead has asked for. It is called for every answer, also for an
+// empty one.
 func (p *Plane) SourceAnswered(now time.Time, tickets []state.Ticket) Output {
 	output := p.noticePause(now)
-	answer := classifyTickets(tickets, p.Head().Judged)
+	after := p.cursor.get()
+	p.takeTickets(now, &output, "", tickets)
+	answer := classifyTickets(tickets, after, p.Head().Judged)
 	if answer == sourcereading.AnswerOld {
 		output.report(SourceAnsweredOld{})
 	}
-	p.takeTickets(now, &output, "", tickets)
 	p.tickets.Answered(now, answer)
 	p.readiness.heardSource()
 	return output
@@ -31,7 +53,9 @@
 // NextSourceRead returns when and how to read the tickets next.
 func (p *Plane) NextSourceRead(now time.Time) SourceRead {
 	next := p.tickets.Next(now)
-	return SourceRead{At: next.At, After: p.Head().Judged, Watch: next.Watch}
+	after := p.Head().Judged
+	p.cursor.set(after)
+	return SourceRead{At: next.At, After: after, Watch: next.Watch}
 }
 
 // Staleness returns the time since the source is known to have confirmed the
@@ -42,17 +66,18 @@
 	return max(0, age), age != NeverConfirmed
 }
 
-// classifyTickets tells what an answer brought beyond the tickets judged.
-func classifyTickets(tickets []state.Ticket, judged state.TicketNumber) sourcereading.Answer {
-	if len(tickets) == 0 {
+// classifyTickets tells what an answer to a read after a number has brought,
+// by how far the node has come since. An answer that brings it no further has
+// only old tickets, or some that wait behind a gap.
+func classifyTickets(tickets []state.Ticket, after, judged state.TicketNumber) sourcereading.Answer {
+	switch {
+	case len(tickets) == 0:
 		return sourcereading.AnswerNothing
+	case judged > after:
+		return sourcereading.AnswerNews
+	default:
+		return sourcereading.AnswerOld
 	}
-	for _, ticket := range tickets {
-		if ticket.Number > judged {
-			return sourcereading.AnswerNews
-		}
-	}
-	return sourcereading.AnswerOld
 }
 
 // classifyHostList tells what a host list brought beyond the one known. A
--- /dev/null
+++ b/coordination/membership/membership_test.go
@@ -0,0 +1,137 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/wasabiport/wasabiport/coordination/membership"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newTable(hosts ...state.Host) *membership.Table {
+	table := membership.NewTable(membership.Config{
+		Self: state.Host{Name: "self", Zone: "north"}, Incarnation: 5,
+		DirectSightTimeout: 4 * time.Second, SuspicionTimeout: 5 * time.Second,
+	})
+	table.ApplyList(start, state.HostList{Version: 1, Hosts: hosts})
+	return table
+}
+
+func sighting(phase state.HostPhase, incarnation, heartbeat uint64) membership.Sighting {
+	return membership.Sighting{Host: "other", Incarnation: incarnation, Heartbeat: heartbeat, Phase: phase}
+}
+
+func TestSightingsInAnyOrderEndInTheSamePhase(t *testing.T) {
+	phases := []state.HostPhase{state.HostLive, state.HostSuspect, state.HostLeaving, state.HostGone}
+	rapid.Check(t, func(t *rapid.T) {
+		var sightings []membership.Sighting
+		for range rapid.IntRange(1, 6).Draw(t, "count") {
+			sightings = append(sightings, sighting(
+				rapid.SampledFrom(phases).Draw(t, "phase"),
+				rapid.Uint64Range(1, 2).Draw(t, "incarnation"),
+				rapid.Uint64Range(1, 3).Draw(t, "heartbeat"),
+			))
+		}
+		merge := func(sightings []membership.Sighting) state.HostPhase {
+			table := newTable(state.Host{Name: "other", Zone: "north"})
+			for _, s := range sightings {
+				table.Merge(start, []membership.Sighting{s})
+			}
+			return table.PhaseOf("other")
+		}
+		require.Equal(t, merge(sightings), merge(rapid.Permutation(sightings).Draw(t, "permuted")))
+	})
+}
+
+func TestPhaseFromListAndSightings(t *testing.T) {
+	leaving := state.Host{Name: "other", Zone: "north", Phase: state.HostLeaving}
+	live := state.Host{Name: "other", Zone: "north"}
+	tests := []struct {
+		name      string
+		host      state.Host
+		sightings []membership.Sighting
+		want      state.HostPhase
+	}{
+		{"listed", live, nil, state.HostLive},
+		{"listed as leaving", leaving, nil, state.HostLeaving},
+		{"leave is final", live, []membership.Sighting{sighting(state.HostLeaving, 1, 5), sighting(state.HostLive, 1, 6)}, state.HostLeaving},
+		{"restarted after its leave", live, []membership.Sighting{sighting(state.HostLeaving, 1, 5), sighting(state.HostLive, 2, 1)}, state.HostLive},
+		{"restarted while the list lags", leaving, []membership.Sighting{sighting(state.HostLive, 2, 1)}, state.HostLive},
+		{"suspicion refuted", live, []membership.Sighting{sighting(state.HostSuspect, 1, 5), sighting(state.HostLive, 1, 6)}, state.HostLive},
+		{"late heartbeat", live, []membership.Sighting{sighting(state.HostSuspect, 1, 5), sighting(state.HostLive, 1, 4)}, state.HostSuspect},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := newTable(test.host)
+			for i, s := range test.sightings {
+				table.Merge(start.Add(time.Duration(i+1)*time.Second), []membership.Sighting{s})
+			}
+			require.Equal(t, test.want, table.PhaseOf("other"))
+		})
+	}
+}
+
+func TestOnlyTheOwnZoneDeclaresHostsGone(t *testing.T) {
+	for _, zone := range []state.AvailabilityZone{"north", "south"} {
+		t.Run(string(zone), func(t *testing.T) {
+			table := newTable(state.Host{Name: "other", Zone: zone})
+			table.Heard(start, sighting(state.HostLive, 1, 1))
+			require.Empty(t, table.Silent(start.Add(3*time.Second), "other"), "not silent for long enough")
+			require.Len(t, table.Silent(start.Add(4*time.Second), "other"), 1)
+			require.Empty(t, table.Expire(start.Add(8*time.Second)))
+			news := table.Expire(start.Add(9 * time.Second))
+			require.Equal(t, zone == "north", len(news) == 1)
+		})
+	}
+}
+
+func TestWrongWordAboutSelfIsRefuted(t *testing.T) {
+	table := newTable()
+	merged := table.Merge(start, []membership.Sighting{{Host: "self", Incarnation: 5, Heartbeat: 7, Phase: state.HostGone}})
+	require.Equal(t, []membership.Sighting{{Host: "self", Incarnation: 5, Heartbeat: 8, Phase: state.HostLive}}, merged.News)
+}
+
+func TestHostThatComesAndGoesIsKeptOutOfTheTrees(t *testing.T) {
+	table := newTable(state.Host{Name: "other", Zone: "north"})
+	now := start
+	for flap := range uint64(3) {
+		table.Merge(now, []membership.Sighting{sighting(state.HostGone, flap+1, 9)})
+		require.Empty(t, table.TreeHosts(now))
+		now = now.Add(10 * time.Second)
+		table.Merge(now, []membership.Sighting{sighting(state.HostLive, flap+2, 1)})
+		require.Equal(t, state.HostLive, table.PhaseOf("other"), "it still gets calls")
+		require.Equal(t, flap == 0, len(table.TreeHosts(now)) == 1)
+	}
+	require.Len(t, table.TreeHosts(now.Add(time.Hour)), 1)
+}
+
+func TestChangesOfTheHostList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(version uint64) state.HostList {
+			list := state.HostList{Version: version}
+			for i := range 5 {
+				if rapid.Bool().Draw(t, "present") {
+					name := state.HostName(fmt.Sprintf("host-%d", i))
+					phase := rapid.SampledFrom([]state.HostPhase{state.HostLive, state.HostLeaving}).Draw(t, "phase")
+					list.Hosts = append(list.Hosts, state.Host{Name: name, Phase: phase})
+				}
+			}
+			return list
+		}
+		first, second, third := draw(1), draw(2), draw(3)
+		got, ok := membership.Apply(first, membership.Diff(first, third))
+		require.True(t, ok)
+		require.ElementsMatch(t, third.Hosts, got.Hosts)
+		if got, ok = membership.Apply(second, membership.Diff(first, third)); ok {
+			require.ElementsMatch(t, third.Hosts, got.Hosts, "taken only when it ends in the same list")
+		}
+		_, ok = membership.Apply(third, membership.Diff(first, second))
+		require.False(t, ok, "never back")
+	})
+}
--- a/coordination/membership/sighting.go
+++ b/coordination/membership/sighting.go
@@ -16,18 +16,15 @@
 	Phase     state.HostPhase
 }
 
-// supersedes reports whether s is newer than old. A leave is final in its
-// incarnation; apart from that the larger heartbeat wins, and at the same
-// heartbeat the worse phase does.
+// supersedes reports whether s is newer than old. It is a total order, so that
+// sightings may arrive in any order: by incarnation, in which a leave is final,
+// then by heartbeat, and at the same heartbeat the worse phase wins.
 func (s Sighting) supersedes(old Sighting) bool {
 	if s.Incarnation != old.Incarnation {
 		return s.Incarnation > old.Incarnation
 	}
-	if old.Phase == state.HostLeaving {
-		return s.Phase == state.HostGone
-	}
-	if s.Phase == state.HostLeaving && old.Phase != state.HostGone {
-		return true
+	if leaves := s.Phase == state.HostLeaving; leaves != (old.Phase == state.HostLeaving) {
+		return leaves
 	}
 	if s.Heartbeat != old.Heartbeat {
 		return s.Heartbeat > old.Heartbeat
@@ -41,10 +38,8 @@
 		return 0
 	case state.HostSuspect:
 		return 1
-	case state.HostLeaving:
-		return 2
 	default:
-		return 3
+		return 2
 	}
 }
 
--- a/coordination/sourcereading/plan.go
+++ b/coordination/sourcereading/plan.go
@@ -42,7 +42,8 @@
 	AnswerNothing Answer = iota
 	// AnswerNews has something newer.
 	AnswerNews
-	// AnswerOld has only what is older than asked for.
+	// AnswerOld has only what can't be used, such as values that are older
+	// than asked for. The source is then read like one that fails.
 	AnswerOld
 )
 
--- a/protocol/peerwire/fleet_test.go
+++ b/protocol/peerwire/fleet_test.go
@@ -167,7 +167,14 @@
 		fail func(x *exchange)
 	}{
 		{"down", func(x *exchange) { x.source.reachable = func(state.Host) bool { return false } }},
-		{"answers old values", func(x *exchange) { x.source.visible = 1 }},
+		{"shows less than before", func(x *exchange) { x.source.visible = 1 }},
+		{"answers old values", func(x *exchange) { x.source.visible, x.source.repeating = 1, true }},
+		{"has a gap", func(x *exchange) {
+			x.source.file()
+			x.source.oldest = len(x.source.tickets) + 2
+			x.source.file()
+			x.source.file()
+		}},
 		{"flapping", func(x *exchange) {
 			x.source.reachable = func(state.Host) bool { return x.now.Unix()%2 == 0 }
 		}},
@@ -186,3 +193,20 @@
 		})
 	}
 }
+
+func TestColdStartFromBaselineNeedsNoEarlierTickets(t *testing.T) {
+	x := newExchange(t, 3, 8)
+	for range 30 {
+		x.source.file()
+	}
+	baseline := changeTicket(31)
+	baseline.Baseline = true
+	x.source.tickets = append(x.source.tickets, baseline)
+	x.source.file()
+	x.source.oldest = 31
+	x.startAll()
+	x.runUntil(time.Minute, func() bool { return x.allAt(32)() && x.allReady() })
+	for _, n := range x.nodes {
+		require.Len(t, n.snapshots.Load().Resources().Services, 2, "only what the baseline and the ticket after it set")
+	}
+}
--- a/protocol/peerwire/source_test.go
+++ b/protocol/peerwire/source_test.go
@@ -24,6 +24,10 @@
 	reachable func(host state.Host) bool
 	// visible bounds the tickets that are shown, when it is not 0.
 	visible int
+	// repeating has the source show its tickets whatever was asked for.
+	repeating bool
+	// oldest is the number of the first ticket that is still kept.
+	oldest  int
 	waiting []*watch
 	// reads counts calls by the second in which they were made.
 	reads map[int64]int
@@ -93,7 +97,11 @@
 	if s.visible > 0 {
 		shown = shown[:min(s.visible, len(shown))]
 	}
-	return shown[min(int(number), len(shown)):]
+	first := max(int(number), s.oldest-1)
+	if s.repeating {
+		first = 0
+	}
+	return shown[min(first, len(shown)):]
 }
 
 // read makes the reads of a node that are due.
