Never call a call not run when an earlier attempt may have run it

Ruled out: the guard's own refusals; each was true for its attempt. Change: retry.Joined keeps the graver outcome over all attempts.

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -157,6 +157,18 @@
 	return Decision{Action: ActionAnswer, Refusal: refusal}
 }
 
+// Joined returns the refusal that is true for a call after two attempts. A call
+// that may have run in the first is never called not run because of the
+// second. The first is nil when there was none.
+func Joined(first, second *state.Refusal) *state.Refusal {
+	if first == nil || first.Outcome == state.OutcomeNotRun {
+		return second
+	}
+	joined := *second
+	joined.Outcome = first.Outcome
+	return &joined
+}
+
 // Unasked returns the refusal that is true for a call when the guard that
 // would have the record of its idempotency key was not asked: an earlier call
 // with the key may have run there.
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -128,3 +128,14 @@
 func TestChainOfTwelveDoesNotMultiplyRetries(t *testing.T) {
 	require.Equal(t, retry.DefaultMaxAttempts, attemptsInChain(newPolicy(retry.BudgetConfig{}), 12))
 }
+
+func TestJoinedNeverTakesBackThatACallMayHaveRun(t *testing.T) {
+	notRun := state.NotRun(state.RefusedQueueFull, "full")
+	mayHaveRun := state.MayHaveRun(state.RefusedBackendServerFailed, "failed")
+	require.Equal(t, notRun, retry.Joined(nil, notRun))
+	require.Equal(t, mayHaveRun, retry.Joined(notRun, mayHaveRun))
+	joined := retry.Joined(mayHaveRun, notRun)
+	require.Equal(t, state.OutcomeMayHaveRun, joined.Outcome)
+	require.Equal(t, state.RefusedQueueFull, joined.Reason)
+	require.Equal(t, state.OutcomeNotRun, notRun.Outcome)
+}
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -39,6 +39,7 @@
 		if answer.Reply != nil {
 			return answer.Reply, nil
 		}
+		answer.Refusal = retry.Joined(last, answer.Refusal)
 		decision := h.decide(head, answer.Refusal, attempts, body)
 		switch decision.Action {
 		case retry.ActionAnswer:
