--- /dev/null
+++ b/internal/faults/callers.go
@@ -0,0 +1,183 @@
+package faults
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/wasabiport/wasabiport/internal/standin"
+)
+
+// Rates of the load.
+const (
+	// callInterval is the time between two calls of the ordinary load.
+	callInterval = 80 * time.Millisecond
+	// resends is how often a caller sends a notice again that was not done.
+	resends = 2
+	// resendAfter is the time until a caller sends a notice again.
+	resendAfter = 700 * time.Millisecond
+	// callerPatience is the time after which a caller gives up.
+	callerPatience = 5 * time.Second
+)
+
+// StartLoad sends calls of all kinds until the fleet stops or quiet is closed.
+func (f *Fleet) StartLoad(quiet <-chan struct{}) {
+	random := rand.New(rand.NewPCG(f.seed, 0))
+	f.threads.Go(func() {
+		ticker := time.NewTicker(callInterval)
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ticker.C:
+			case <-quiet:
+				return
+			case <-f.ctx.Done():
+				return
+			}
+			kind := Kinds()[i%len(Kinds())]
+			entry := random.IntN(hostCount)
+			f.threads.Go(func() { f.Call(kind, entry) })
+		}
+	})
+}
+
+// Flood sends calls of one kind at a rate until ctx ends.
+func (f *Fleet) Flood(ctx context.Context, kind Kind, callsPerSecond int) {
+	ticker := time.NewTicker(time.Second / time.Duration(callsPerSecond))
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ticker.C:
+			f.threads.Go(func() { f.attempt(kind, i%hostCount, newKey(kind)) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func newKey(kind Kind) string {
+	if kind.Idempotent {
+		return ""
+	}
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+// Call sends one call as a caller does: a notice that is not known to be done
+// is sent again with the same key.
+func (f *Fleet) Call(kind Kind, entry int) {
+	key := newKey(kind)
+	for attempt := range 1 + resends {
+		record := f.attempt(kind, (entry+attempt)%hostCount, key)
+		done := record.Answered && record.Status < http.StatusInternalServerError
+		if done || kind.Idempotent || !f.pause(resendAfter) {
+			return
+		}
+	}
+}
+
+func (f *Fleet) pause(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-f.ctx.Done():
+		return false
+	}
+}
+
+// attempt sends a request once and notes what the caller sees.
+func (f *Fleet) attempt(kind Kind, entry int, key string) CallRecord {
+	record := CallRecord{Kind: kind, Key: key, Started: time.Now(), SentToHost: entry}
+	ctx, cancel := context.WithTimeout(f.ctx, callerPatience)
+	defer cancel()
+	f.send(ctx, &record)
+	record.Ended = time.Now()
+	if f.ctx.Err() == nil {
+		f.History.addCall(record)
+	}
+	return record
+}
+
+func (f *Fleet) send(ctx context.Context, record *CallRecord) {
+	body := fmt.Appendf(nil, "%s %s at %d", record.Kind.Name, record.Key, record.Started.UnixNano())
+	request, err := f.newRequest(ctx, record, body)
+	if err != nil {
+		record.Failure = err.Error()
+		return
+	}
+	response, err := f.callerClient(record).Do(request)
+	if err != nil {
+		record.Failure = err.Error()
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	record.Answered = true
+	record.Status = response.StatusCode
+	record.Outcome = response.Header.Get("Wasabiport-Outcome")
+	record.CallID = response.Header.Get(standin.HeaderCallID)
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		record.Failure = err.Error()
+		return
+	}
+	record.BodyEnded = true
+	record.BodyRight = response.StatusCode != http.StatusOK || isRight(record.Kind, body, answer)
+}
+
+func (f *Fleet) newRequest(ctx context.Context, record *CallRecord, body []byte) (*http.Request, error) {
+	url := "http://" + callerAddress(record.SentToHost) + record.Kind.Path
+	request, err := http.NewRequestWithContext(ctx, record.Kind.Method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Wasabiport-Caller", "contractor")
+	request.Header.Set(standin.HeaderServiceTime, record.Kind.ServiceTime.String())
+	if record.Key != "" {
+		request.Header.Set(standin.HeaderIdempotencyKey, record.Key)
+	}
+	if record.Kind.Crashes {
+		request.Header.Set(standin.HeaderCrash, "1")
+	}
+	if record.Kind.AnswerBytes > 0 {
+		request.Header.Set(standin.HeaderAnswerBytes, strconv.Itoa(record.Kind.AnswerBytes))
+	}
+	return request, nil
+}
+
+// callerClient notes whether the caller was connected at all. A caller that
+// could not connect has handed over no request.
+func (f *Fleet) callerClient(record *CallRecord) *http.Client {
+	client := f.client(callerEndpoint)
+	transport, _ := client.Transport.(*http.Transport)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+		conn, err = dial(ctx, network, address)
+		record.Connected = err == nil
+		return conn, err
+	}
+	return client
+}
+
+func isRight(kind Kind, sent, answer []byte) bool {
+	if kind.AnswerBytes == 0 {
+		return bytes.Equal(sent, answer)
+	}
+	if len(answer) != kind.AnswerBytes {
+		return false
+	}
+	for offset, value := range answer {
+		if value != standin.PatternByte(int64(offset)) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/faults/kind.go
@@ -0,0 +1,66 @@
+package faults
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// Kind is a kind of work that callers send.
+type Kind struct {
+	Name       string
+	Method     string
+	Path       string
+	Class      state.PriorityClass
+	Idempotent bool
+	// AnswerBytes asks for an answer of this length; 0 asks for an echo.
+	AnswerBytes int
+	// ServiceTime is how long a backend server takes for it.
+	ServiceTime time.Duration
+	// Crashes says that each backend server that runs it crashes.
+	Crashes bool
+}
+
+// The kinds of work.
+var (
+	// Notice is urgent and must not run twice.
+	Notice = Kind{
+		Name:        "notice",
+		Method:      http.MethodPost,
+		Path:        "/notices",
+		Class:       state.ClassCritical,
+		ServiceTime: 40 * time.Millisecond,
+	}
+	// Status is a lookup that a person waits for.
+	Status = Kind{
+		Name:        "status",
+		Method:      http.MethodGet,
+		Path:        "/status",
+		Class:       state.ClassHigh,
+		Idempotent:  true,
+		ServiceTime: 20 * time.Millisecond,
+	}
+	// Drawing is a large download.
+	Drawing = Kind{
+		Name:        "drawing",
+		Method:      http.MethodGet,
+		Path:        "/drawings",
+		Class:       state.ClassNormal,
+		Idempotent:  true,
+		AnswerBytes: 300 << 10,
+		ServiceTime: 20 * time.Millisecond,
+	}
+	// Browse is work that can wait.
+	Browse = Kind{
+		Name:        "browse",
+		Method:      http.MethodGet,
+		Path:        "/browse",
+		Class:       state.ClassBackground,
+		Idempotent:  true,
+		ServiceTime: 40 * time.Millisecond,
+	}
+)
+
+// Kinds returns all kinds of work.
+func Kinds() []Kind { return []Kind{Notice, Status, Drawing, Browse} }
