Bound sessions between nodes and end those that break the protocol

A peer could send frames of any rate, hold a handshake open, and be dialed from both ends at once; a replaced session stayed open for ever, and a half-open one was noticed after 20 s.

- handshakes pass the limiter; a refused one says when to come back, and the dialing side keeps to it; others back off with full jitter
- running handshakes, sessions, calls a session and queued messages are bounded and counted
- a malformed or oversized message ends its session with event 406 and a counter
- of two sessions dialed at the same time both nodes keep the same one; a newer start of a peer replaces the older
- sessions for calls end when idle, by the side that opened them; the other side stops using them earlier, so that no call meets the end
- a half-open control session is noticed within 10 s
- the buffer for the hello, 16 KiB a session before, is given up after it
- leaving flushes the queues

--- a/config.go
+++ b/config.go
@@ -35,8 +35,8 @@
 	// HandshakeTimeout bounds the time to open a session to a peer. Default
 	// 3 s.
 	HandshakeTimeout time.Duration
-	// RedialInterval is the time between two tries to reach a peer. Default
-	// 1 s.
+	// RedialInterval bounds the delay before a peer is dialed again for the
+	// first time; it doubles up to 10 s and has full jitter. Default 1 s.
 	RedialInterval time.Duration
 
 	// LeaveDelay is the time for which a leaving node still accepts callers,
--- a/node.go
+++ b/node.go
@@ -146,6 +146,8 @@
 	n.loop.Leave()
 	n.guard.Leave()
 	n.entry.Leave()
+	// What can't be announced in time is found out by silence.
+	_ = n.pool.Flush(ctx)
 	n.awaitLeaveDelay(ctx)
 	err := n.callers.Shutdown(ctx)
 	err = errors.CombineErrors(err, n.guard.AwaitDrained(ctx))
--- a/providers.go
+++ b/providers.go
@@ -59,6 +59,8 @@
 	randomOfPlane uint64 = iota + 1
 	randomOfPicker
 	randomOfRetries
+	randomOfPool
+	randomOfLimiter
 )
 
 func newPlane(config Config, started incarnation, snapshots *state.SnapshotStore) *control.Plane {
@@ -89,16 +91,6 @@
 	return guard.New(config.Self.Name, snapshots, records, config.Network)
 }
 
-func newPool(config Config, started incarnation, loop *controlloop.Loop, guard *guard.Guard) *peering.Pool {
-	settings := peering.Config{
-		Self:             config.Self,
-		Incarnation:      uint64(started),
-		HandshakeTimeout: config.HandshakeTimeout,
-		RedialInterval:   config.RedialInterval,
-	}
-	return peering.NewPool(settings, config.Network, peerHandler{Loop: loop, guard: guard})
-}
-
 func newCallMetrics(registry *prometheus.Registry, guard *guard.Guard) (*metrics.Calls, error) {
 	if err := metrics.RegisterGates(registry, guard); err != nil {
 		return nil, err
--- a/transport/events/catalogue.go
+++ b/transport/events/catalogue.go
@@ -23,6 +23,8 @@
 		PeerRefused{},
 		HostPhaseChanged{},
 		ParentReplaced{},
+		PeerMalformed{},
+		HandshakeFailed{},
 		BackendServerCrashed{},
 		RequestQuarantined{},
 		KeysReloaded{},
--- a/transport/events/peer.go
+++ b/transport/events/peer.go
@@ -58,3 +58,27 @@
 func (KeysRejected) Kind() Kind {
 	return Kind{602, LevelError, "keys-rejected", "The changed key files can't be used. The node goes on with the earlier ones."}
 }
+
+// PeerMalformed is logged when a peer breaks the protocol.
+type PeerMalformed struct {
+	Peer  state.HostName `event:"peer"`
+	Error error          `event:"error"`
+}
+
+// Kind returns the description of the event.
+func (PeerMalformed) Kind() Kind {
+	return Kind{406, LevelError, "peer-malformed", "The peer has sent a message that is not part of the protocol. Its session is ended and nothing else."}
+}
+
+// HandshakeFailed is logged when a handshake leads to no session.
+type HandshakeFailed struct {
+	// Peer is empty when it is not known.
+	Peer    state.HostName `event:"peer"`
+	Address string         `event:"address"`
+	Error   error          `event:"error"`
+}
+
+// Kind returns the description of the event.
+func (HandshakeFailed) Kind() Kind {
+	return Kind{407, LevelInfo, "handshake-failed", "A handshake with a node led to no session: keys, names or the protocol did not match, or it took too long."}
+}
--- /dev/null
+++ b/transport/peering/accept.go
@@ -0,0 +1,141 @@
+package peering
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/wasabiport/wasabiport/protocol/frame"
+	"github.com/wasabiport/wasabiport/protocol/handshake"
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/events"
+)
+
+// Serve accepts sessions until the listener is closed.
+func (p *Pool) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return errors.Wrap(err, "accept a peer")
+		}
+		address := ipOf(conn)
+		if !p.beginHandshake(address) {
+			p.metrics.handshakes.WithLabelValues(resultFlood).Inc()
+			_ = conn.Close()
+			continue
+		}
+		p.threads.Go(func() {
+			err := p.acceptSession(conn)
+			p.endHandshake(address)
+			if err != nil {
+				_ = conn.Close()
+				p.noteHandshake("", address, err)
+			}
+		})
+	}
+}
+
+func ipOf(conn net.Conn) string {
+	address := conn.RemoteAddr().String()
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		return host
+	}
+	return address
+}
+
+// beginHandshake reports whether one more handshake may run.
+func (p *Pool) beginHandshake(address string) bool {
+	if p.handshakes.Add(1) > int64(p.config.MaxHandshakes) {
+		p.handshakes.Add(-1)
+		return false
+	}
+	admitted := false
+	p.handshaking.Update(address, func(running int, _ bool) (int, bool) {
+		admitted = running < p.config.MaxHandshakesPerAddress
+		if admitted {
+			running++
+		}
+		return running, true
+	})
+	if !admitted {
+		p.handshakes.Add(-1)
+	}
+	return admitted
+}
+
+func (p *Pool) endHandshake(address string) {
+	p.handshakes.Add(-1)
+	p.handshaking.Update(address, func(running int, _ bool) (int, bool) { return running - 1, running > 1 })
+}
+
+// acceptSession makes the accepting side of a session.
+func (p *Pool) acceptSession(conn net.Conn) error {
+	ctx, cancel := context.WithTimeout(p.ctx, p.config.HandshakeTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	secured, proved, err := p.security.Server(ctx, conn)
+	if err != nil {
+		return err
+	}
+	reader := newHelloReader(secured)
+	peer, err := handshake.Receive(reader)
+	if err != nil {
+		return err
+	}
+	if err := checkIdentity(peer, proved); err != nil {
+		return err
+	}
+	if refusal := p.admit(); refusal != nil {
+		if err := handshake.Refuse(secured, refusal.Reason, refusal.RetryAfter); err != nil {
+			return err
+		}
+		return errors.Wrapf(refusal, "answer %s", peer.Host)
+	}
+	if err := handshake.Send(secured, p.hello(peer.Lane)); err != nil {
+		return err
+	}
+	link := link{conn: &helloConn{Conn: secured, hello: reader}, peer: peer, dialer: peer.Host}
+	_, err = p.startSession(ctx, link)
+	return err
+}
+
+// admit returns why one more session is not accepted, or nil.
+func (p *Pool) admit() *handshake.RefusedError {
+	if p.accepted.Load() >= int64(p.config.MaxSessions) {
+		return &handshake.RefusedError{Reason: "too many sessions", RetryAfter: sessionRetryAfter}
+	}
+	if decision := p.limiter.Admit(time.Now()); !decision.Admitted {
+		return &handshake.RefusedError{Reason: "too many handshakes", RetryAfter: decision.RetryAfter}
+	}
+	return nil
+}
+
+func newHelloReader(conn net.Conn) *bufio.Reader {
+	return bufio.NewReaderSize(conn, helloBufferBytes)
+}
+
+// noteHandshake counts and logs a handshake that led to no session. The peer
+// is empty when it is not known.
+func (p *Pool) noteHandshake(peer state.HostName, address string, err error) {
+	if p.ctx.Err() != nil {
+		return
+	}
+	var refused *handshake.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		p.metrics.handshakes.WithLabelValues(resultRefused).Inc()
+		events.Log(p.config.Logger, events.PeerRefused{Peer: peer, Reason: refused.Reason, RetryAfter: refused.RetryAfter})
+		return
+	case errors.Is(err, frame.ErrMalformed):
+		p.metrics.handshakes.WithLabelValues(resultMalformed).Inc()
+	case errors.Is(err, ErrIdentity):
+		p.metrics.handshakes.WithLabelValues(resultIdentity).Inc()
+	default:
+		p.metrics.handshakes.WithLabelValues(resultFailed).Inc()
+	}
+	events.Log(p.config.Logger, events.HandshakeFailed{Peer: peer, Address: address, Error: err})
+}
--- a/transport/peering/pool.go
+++ b/transport/peering/pool.go
@@ -6,51 +6,48 @@
 	"context"
 	"net"
 	"sync"
-	"time"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
-	"github.com/hashicorp/yamux"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
+	limit "github.com/wasabiport/wasabiport/coordination/handshake"
 	"github.com/wasabiport/wasabiport/protocol/handshake"
+	"github.com/wasabiport/wasabiport/protocol/peerwire"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/network"
 )
 
-// Config holds the settings of a Pool.
-type Config struct {
-	Self state.Host
-	// Incarnation is the start time of the node in nanoseconds since 1970.
-	Incarnation uint64
-	// HandshakeTimeout bounds the time for a session's handshake.
-	HandshakeTimeout time.Duration
-	// RedialInterval is the time between two tries to reach a wanted peer.
-	RedialInterval time.Duration
-}
-
 // Handler takes what arrives from peers. Its methods are called by many
 // threads.
 type Handler interface {
 	// Receive takes a control message.
 	Receive(from state.HostName, message control.Message)
-	// Connected tells that messages to a peer can be sent.
+	// Connected tells that messages to a peer can be sent over one more
+	// session.
 	Connected(host state.HostName)
-	// Disconnected tells that messages to a peer can't be sent any more.
+	// Disconnected tells that one session to a peer has ended.
 	Disconnected(host state.HostName)
 	// ServeCall handles the call of a stream, which it closes.
 	ServeCall(ctx context.Context, stream net.Conn)
 }
 
-// ErrNotConnected means that there is no session to a peer.
-var ErrNotConnected = errors.New("no session to the peer")
-
 // Pool holds the sessions of a node, in shards by peer and lane.
 type Pool struct {
 	config   Config
 	network  network.Network
+	security Security
 	handler  Handler
+	limiter  *limit.Limiter
+	metrics  *Metrics
+	encoder  peerwire.Encoder
+
 	sessions *state.ShardedMap[sessionKey, *session]
 	dialing  *state.ShardedMap[sessionKey, *dial]
+	// handshaking counts the running handshakes by IP address.
+	handshaking *state.ShardedMap[string, int]
+	handshakes  atomic.Int64
+	accepted    atomic.Int64
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -62,24 +59,28 @@
 	lane handshake.Lane
 }
 
-// dial is one try to open a session that several threads may wait for.
-type dial struct {
-	done    chan struct{}
-	session *session
-	err     error
-}
-
 // NewPool returns a pool without sessions.
-func NewPool(config Config, network network.Network, handler Handler) *Pool {
+func NewPool(
+	config Config,
+	network network.Network,
+	security Security,
+	handler Handler,
+	limiter *limit.Limiter,
+	metrics *Metrics,
+) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
-		config:   config,
-		network:  network,
-		handler:  handler,
-		sessions: state.NewShardedMap[sessionKey, *session](state.DefaultShardCount),
-		dialing:  state.NewShardedMap[sessionKey, *dial](state.DefaultShardCount),
-		ctx:      ctx,
-		cancel:   cancel,
+		config:      config,
+		network:     network,
+		security:    security,
+		handler:     handler,
+		limiter:     limiter,
+		metrics:     metrics,
+		sessions:    state.NewShardedMap[sessionKey, *session](state.DefaultShardCount),
+		dialing:     state.NewShardedMap[sessionKey, *dial](state.DefaultShardCount),
+		handshaking: state.NewShardedMap[string, int](state.DefaultShardCount),
+		ctx:         ctx,
+		cancel:      cancel,
 	}
 }
 
@@ -90,7 +91,36 @@
 	if !ok {
 		return errors.Wrapf(ErrNotConnected, "send to %s", to)
 	}
-	return session.enqueue(message)
+	if !session.enqueue(outgoing{message: message}) {
+		p.metrics.dropped.Inc()
+		return errors.Wrapf(ErrQueueFull, "send to %s", to)
+	}
+	return nil
+}
+
+// Flush waits until the control messages that are queued have been written,
+// or ctx ends. It does not wait for peers whose queue is full.
+func (p *Pool) Flush(ctx context.Context) error {
+	var sessions []*session
+	p.sessions.Range(func(key sessionKey, session *session) bool {
+		if key.lane == handshake.LaneControl {
+			sessions = append(sessions, session)
+		}
+		return true
+	})
+	for _, session := range sessions {
+		written := make(chan struct{})
+		if !session.enqueue(outgoing{written: written}) {
+			continue
+		}
+		select {
+		case <-written:
+		case <-session.mux.CloseChan():
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "flush control messages")
+		}
+	}
+	return nil
 }
 
 // OpenCall opens a stream for a call to a peer, over the session of the lane
@@ -100,29 +130,17 @@
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.mux.OpenStream()
-	if err != nil {
-		return nil, errors.Wrapf(err, "open a call to %s", host.Name)
+	stream, err := session.openCall()
+	if err == nil {
+		return stream, nil
 	}
-	return stream, nil
-}
-
-// Keep holds a control session to a host until ctx ends: it dials again when
-// the session is lost.
-func (p *Pool) Keep(ctx context.Context, host state.Host) {
-	for ctx.Err() == nil {
-		session, err := p.session(ctx, host, handshake.LaneControl)
-		if err == nil {
-			select {
-			case <-session.mux.CloseChan():
-			case <-ctx.Done():
-				return
-			}
-		}
-		if !sleep(ctx, p.config.RedialInterval) {
-			return
-		}
+	// The session has ended since it was found.
+	p.remove(session)
+	if session, err = p.session(ctx, host, lane); err != nil {
+		return nil, err
 	}
+	stream, err = session.openCall()
+	return stream, errors.Wrapf(err, "open a call to %s", host.Name)
 }
 
 // Shutdown closes all sessions and waits until all threads have ended.
@@ -130,82 +148,3 @@
 	p.cancel()
 	p.threads.Wait()
 }
-
-// session returns the session to a peer, dialing at most once at a time.
-func (p *Pool) session(ctx context.Context, host state.Host, lane handshake.Lane) (*session, error) {
-	key := sessionKey{host: host.Name, lane: lane}
-	if session, ok := p.sessions.Get(key); ok {
-		return session, nil
-	}
-	mine := false
-	var current *dial
-	p.dialing.Update(key, func(running *dial, present bool) (*dial, bool) {
-		if !present {
-			running = &dial{done: make(chan struct{})}
-			mine = true
-		}
-		current = running
-		return running, true
-	})
-	if mine {
-		p.threads.Go(func() {
-			current.session, current.err = p.dial(host, lane)
-			p.dialing.Delete(key)
-			close(current.done)
-		})
-	}
-	select {
-	case <-current.done:
-		return current.session, current.err
-	case <-ctx.Done():
-		return nil, errors.Wrapf(ctx.Err(), "reach %s", host.Name)
-	}
-}
-
-func (p *Pool) dial(host state.Host, lane handshake.Lane) (*session, error) {
-	ctx, cancel := context.WithTimeout(p.ctx, p.config.HandshakeTimeout)
-	defer cancel()
-	conn, err := p.network.Dial(ctx, host.PeerAddress)
-	if err != nil {
-		return nil, errors.Wrapf(err, "reach %s", host.Name)
-	}
-	session, err := p.openSession(conn, host.Name, lane)
-	if err != nil {
-		_ = conn.Close()
-		return nil, errors.Wrapf(err, "open a session to %s", host.Name)
-	}
-	return session, nil
-}
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// muxConfig returns the settings of the multiplexer.
-func muxConfig() *yamux.Config {
-	config := yamux.DefaultConfig()
-	config.EnableKeepAlive = true
-	config.KeepAliveInterval = keepAliveInterval
-	config.ConnectionWriteTimeout = writeTimeout
-	config.LogOutput = discard{}
-	return config
-}
-
-// Settings of the multiplexer.
-const (
-	keepAliveInterval = 10 * time.Second
-	writeTimeout      = 10 * time.Second
-)
-
-// discard drops the multiplexer's own log: what matters reaches the node as
-// errors.
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/transport/peering/session.go
+++ b/transport/peering/session.go
@@ -4,208 +4,126 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 
-	"github.com/wasabiport/wasabiport/coordination/control"
-	"github.com/wasabiport/wasabiport/protocol/frame"
 	"github.com/wasabiport/wasabiport/protocol/handshake"
-	"github.com/wasabiport/wasabiport/protocol/peerwire"
-	"github.com/wasabiport/wasabiport/protocol/wirepb"
 	"github.com/wasabiport/wasabiport/state"
 )
 
-// Bounds of a control session.
-const (
-	// sendQueueLength is the number of control messages that wait for one
-	// peer.
-	sendQueueLength = 256
-	// maxControlBytes bounds one control message.
-	maxControlBytes = 16 << 20
-)
-
-// ErrQueueFull means that a control message was dropped because the peer does
-// not keep up. Digest repair makes up for it.
-var ErrQueueFull = errors.New("the peer's send queue is full")
+// link is a connection whose handshake is over.
+type link struct {
+	conn net.Conn
+	peer handshake.Hello
+	// dialer is the host that has opened the connection.
+	dialer state.HostName
+	// address is where this node has dialed; empty when it has accepted.
+	address string
+}
 
 // session is one connection to a peer.
 type session struct {
+	link
 	key     sessionKey
 	mux     *yamux.Session
 	control net.Conn
-	queue   chan control.Message
-	once    sync.Once
-}
+	queue   chan outgoing
 
-func (s *session) enqueue(message control.Message) error {
-	select {
-	case s.queue <- message:
-		return nil
-	default:
-		return errors.Wrapf(ErrQueueFull, "send to %s", s.key.host)
-	}
+	// calls counts the open streams for calls of both sides; lastUse is the
+	// time in Unix nanoseconds at which the latest began or ended.
+	calls   atomic.Int64
+	lastUse atomic.Int64
+	once    sync.Once
+	// released is called once when the session is closed.
+	released func()
 }
 
-func (s *session) close() {
-	s.once.Do(func() { _ = s.mux.Close() })
-}
+func (s *session) dialedBy(host state.HostName) bool { return s.dialer == host }
 
-// openSession makes the dialing side of a session: the hello travels before
-// the multiplexer starts.
-func (p *Pool) openSession(conn net.Conn, host state.HostName, lane handshake.Lane) (*session, error) {
-	if err := conn.SetDeadline(time.Now().Add(p.config.HandshakeTimeout)); err != nil {
-		return nil, errors.Wrap(err, "bound the time for the handshake")
-	}
-	if err := handshake.Send(conn, p.hello(lane)); err != nil {
-		return nil, err
+// usable reports whether a call or message to a host at an address may use
+// the session. A session that the peer has opened is left alone once it is
+// idle for half of the time after which the peer closes it, so that no call
+// meets the end of its session.
+func (s *session) usable(config Config, address string) bool {
+	if s.mux.IsClosed() || s.address != "" && s.address != address {
+		return false
 	}
-	reader := frame.NewReader(conn)
-	peer, err := handshake.Receive(reader)
-	if err != nil {
-		return nil, err
-	}
-	if peer.Host != host {
-		return nil, errors.Newf("the peer is %q, want %q", peer.Host, host)
-	}
-	return p.startSession(conn, reader, peer, dialingSide)
+	return s.key.lane == handshake.LaneControl || s.dialedBy(config.Self.Name) ||
+		s.calls.Load() > 0 || s.idleFor() < config.IdleTimeout/2
 }
 
-// Serve accepts sessions until the listener is closed.
-func (p *Pool) Serve(listener net.Listener) error {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return errors.Wrap(err, "accept a peer")
-		}
-		p.threads.Go(func() {
-			if err := p.acceptSession(conn); err != nil {
-				_ = conn.Close()
-			}
-		})
-	}
-}
+func (s *session) idleFor() time.Duration { return time.Since(time.Unix(0, s.lastUse.Load())) }
 
-func (p *Pool) acceptSession(conn net.Conn) error {
-	if err := conn.SetDeadline(time.Now().Add(p.config.HandshakeTimeout)); err != nil {
-		return errors.Wrap(err, "bound the time for the handshake")
-	}
-	reader := frame.NewReader(conn)
-	peer, err := handshake.Receive(reader)
-	if err != nil {
-		return err
-	}
-	if err := handshake.Send(conn, p.hello(peer.Lane)); err != nil {
-		return err
-	}
-	_, err = p.startSession(conn, reader, peer, acceptingSide)
-	return err
+func (s *session) touch() { s.lastUse.Store(time.Now().UnixNano()) }
+
+func (s *session) close() {
+	s.once.Do(func() {
+		_ = s.mux.Close()
+		s.released()
+	})
 }
 
-func (p *Pool) hello(lane handshake.Lane) handshake.Hello {
-	return handshake.Hello{
-		Host:        p.config.Self.Name,
-		Zone:        p.config.Self.Zone,
-		Incarnation: p.config.Incarnation,
-		Lane:        lane,
+// replaces reports whether a session takes the place of an older one. When
+// both nodes have dialed at the same time, both keep the session that the
+// host with the smaller name has opened.
+func (s *session) replaces(old *session) bool {
+	switch {
+	case old.mux.IsClosed():
+		return true
+	case s.peer.Incarnation != old.peer.Incarnation:
+		return s.peer.Incarnation > old.peer.Incarnation
+	case s.dialer == old.dialer:
+		return true
+	default:
+		return s.dialer < old.dialer
 	}
 }
 
-func (p *Pool) startSession(
-	conn net.Conn,
-	reader *frame.Reader,
-	peer handshake.Hello,
-	own side,
-) (*session, error) {
-	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return nil, errors.Wrap(err, "end the handshake")
-	}
-	mux, err := startMux(bufferedConn{Conn: conn, reader: reader}, own)
+// startSession starts the multiplexer and the threads of a session. It returns
+// the session that is in use between the two nodes, which may be another one.
+func (p *Pool) startSession(ctx context.Context, link link) (*session, error) {
+	dialed := link.address != ""
+	mux, err := startMux(link.conn, link.peer.Lane, dialed)
 	if err != nil {
 		return nil, errors.Wrap(err, "start the multiplexer")
 	}
-	session := &session{key: sessionKey{host: peer.Host, lane: peer.Lane}, mux: mux}
-	context.AfterFunc(p.ctx, session.close)
-	if peer.Lane != handshake.LaneControl {
-		p.sessions.Set(session.key, session)
-		p.threads.Go(func() { p.serveCalls(session) })
-		return session, nil
-	}
-	session.queue = make(chan control.Message, sendQueueLength)
-	session.control, err = openControl(mux, own)
-	if err != nil {
-		session.close()
-		return nil, err
+	session := &session{link: link, key: sessionKey{host: link.peer.Host, lane: link.peer.Lane}, mux: mux}
+	session.touch()
+	p.track(session, dialed)
+	if session.key.lane == handshake.LaneControl {
+		return p.startControl(ctx, session, dialed)
 	}
+	// Calls that run over an earlier session go on; it ends when it is idle.
 	p.sessions.Set(session.key, session)
-	p.threads.Go(func() { p.writeControl(session) })
-	p.threads.Go(func() { p.readControl(session) })
-	p.handler.Connected(peer.Host)
+	p.threads.Go(func() { p.serveCalls(session) })
 	return session, nil
 }
 
-func (p *Pool) serveCalls(session *session) {
-	defer func() { p.remove(session) }()
-	for {
-		stream, err := session.mux.AcceptStream()
-		if err != nil {
-			return
-		}
-		p.threads.Go(func() { p.handler.ServeCall(p.ctx, stream) })
-	}
-}
-
-func (p *Pool) writeControl(session *session) {
-	for {
-		select {
-		case message := <-session.queue:
-			if err := writeMessage(session.control, message); err != nil {
-				session.close()
-				return
-			}
-		case <-session.mux.CloseChan():
-			return
-		}
-	}
-}
-
-func writeMessage(stream net.Conn, message control.Message) error {
-	encoded, err := peerwire.Encode(message)
-	if err != nil {
-		return err
-	}
-	return frame.Write(stream, encoded)
-}
-
-func (p *Pool) readControl(session *session) {
-	defer func() {
-		if p.remove(session) {
-			p.handler.Disconnected(session.key.host)
-		}
-	}()
-	reader := frame.NewReader(session.control)
-	for {
-		var encoded wirepb.PeerMessage
-		if err := frame.Read(reader, &encoded, maxControlBytes); err != nil {
-			return
-		}
-		message, err := peerwire.Decode(&encoded)
-		if err != nil {
-			return
+// track counts a session until it is closed, and closes it with the pool.
+func (p *Pool) track(session *session, dialed bool) {
+	p.metrics.handshakes.WithLabelValues(resultOpened).Inc()
+	p.metrics.sessions.Inc()
+	if !dialed {
+		p.accepted.Add(1)
+	}
+	stop := context.AfterFunc(p.ctx, session.close)
+	session.released = func() {
+		stop()
+		p.metrics.sessions.Dec()
+		if !dialed {
+			p.accepted.Add(-1)
 		}
-		p.handler.Receive(session.key.host, message)
 	}
 }
 
-// remove closes a session and forgets it. It returns false when a newer
-// session to the same peer has taken its place.
-func (p *Pool) remove(ended *session) bool {
+// remove closes a session and forgets it, unless another one to the same peer
+// has taken its place.
+func (p *Pool) remove(ended *session) {
 	ended.close()
-	removed := false
 	p.sessions.Update(ended.key, func(current *session, present bool) (*session, bool) {
-		removed = present && current == ended
-		return current, present && !removed
+		return current, present && current != ended
 	})
-	return removed
 }
--- a/wire.go
+++ b/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/google/wire"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/coordination/picking"
@@ -16,17 +17,29 @@
 	"github.com/wasabiport/wasabiport/transport/platform"
 )
 
+var peerProviders = wire.NewSet(
+	newNetwork,
+	newSecurity,
+	newHandshakeLimiter,
+	newPeeringConfig,
+	newPeerHandler,
+	peering.NewMetrics,
+	peering.NewPool,
+	wire.Bind(new(peering.Handler), new(peerHandler)),
+)
+
 var providers = wire.NewSet(
+	peerProviders,
 	newIncarnation,
 	newSnapshotStore,
 	newRegistry,
+	wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 	newPlane,
 	newPicker,
 	newSource,
 	newRecords,
 	newLogger,
 	newGuard,
-	newPool,
 	newCallMetrics,
 	newDecisions,
 	newEntry,
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"github.com/google/wire"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/coordination/picking"
 	"github.com/wasabiport/wasabiport/transport/callstream"
@@ -31,13 +32,22 @@
 	client := newSource(config)
 	logger := newLogger(config)
 	loop := controlloop.New(plane, client, logger)
-	pool := newPool(config, wasabiportIncarnation, loop, guard)
-	picker := newPicker(config, plane)
-	decisions := newDecisions(config, picker)
+	peeringConfig := newPeeringConfig(config, wasabiportIncarnation)
+	network := newNetwork(config)
+	security := newSecurity(config)
+	wasabiportPeerHandler := newPeerHandler(loop, guard)
+	limiter := newHandshakeLimiter(config)
 	registry, err := newRegistry()
 	if err != nil {
 		return nil, err
 	}
+	metrics, err := peering.NewMetrics(registry)
+	if err != nil {
+		return nil, err
+	}
+	pool := peering.NewPool(peeringConfig, network, security, wasabiportPeerHandler, limiter, metrics)
+	picker := newPicker(config, plane)
+	decisions := newDecisions(config, picker)
 	calls, err := newCallMetrics(registry, guard)
 	if err != nil {
 		return nil, err
@@ -53,17 +63,24 @@
 
 // wire.go:
 
+var peerProviders = wire.NewSet(
+	newNetwork,
+	newSecurity,
+	newHandshakeLimiter,
+	newPeeringConfig,
+	newPeerHandler, peering.NewMetrics, peering.NewPool, wire.Bind(new(peering.Handler), new(peerHandler)),
+)
+
 var providers = wire.NewSet(
+	peerProviders,
 	newIncarnation,
 	newSnapshotStore,
-	newRegistry,
-	newPlane,
+	newRegistry, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)), newPlane,
 	newPicker,
 	newSource,
 	newRecords,
 	newLogger,
 	newGuard,
-	newPool,
 	newCallMetrics,
 	newDecisions,
 	newEntry,
