Draw repair peers only when due, and ask on until caught up

A heartbeat collected all hosts for the choice of a random peer that is due once a minute. A node that is behind by more than one answer asked for the rest only at the next heartbeat; it now asks at once.

--- a/coordination/control/plane_test.go
+++ b/coordination/control/plane_test.go
@@ -122,6 +122,23 @@
 	require.Equal(t, state.TicketNumber(4), plane.Head().Judged)
 }
 
+func TestNodeBehindAsksUntilItHasCaughtUp(t *testing.T) {
+	plane, _ := newPlane(1)
+	plane.Connected(start, "peer")
+	offer := control.Offer{Head: inOrder(6).Head(), Incarnation: 1, Heartbeat: 1}
+	output := plane.Receive(start, "peer", offer)
+	require.Equal(t, []control.Send{{To: "peer", Message: control.Request{After: 0}}}, output.Sends)
+	require.Empty(t, plane.Receive(start, "peer", offer).Sends, "one question at a time")
+	var batch []state.Ticket
+	for number := state.TicketNumber(1); number <= 4; number++ {
+		batch = append(batch, ticketOf(number))
+	}
+	output = plane.Receive(start, "peer", control.Tickets{Tickets: batch})
+	require.Equal(t, []control.Send{{To: "peer", Message: control.Request{After: 4}}}, output.Sends)
+	output = plane.Receive(start, "peer", control.Tickets{Tickets: []state.Ticket{ticketOf(5), ticketOf(6)}})
+	require.Empty(t, output.Sends)
+}
+
 func TestBadSnapshotIsRefused(t *testing.T) {
 	good := inOrder(4)
 	builder := state.NewSnapshotBuilder(nil)
--- a/coordination/control/tick.go
+++ b/coordination/control/tick.go
@@ -45,7 +45,9 @@
 		}
 		p.spreadNews(output, p.members.Expire(now), "")
 	}
-	p.links.Repair(now, p.members.TreeHosts(now), heard == 0)
+	if isolated := heard == 0; p.links.RepairDue(now, isolated) {
+		p.links.Repair(now, p.members.TreeHosts(now), isolated)
+	}
 }
 
 // silentPeers returns the connected peers that are silent, and the number of
--- a/coordination/control/tickets.go
+++ b/coordination/control/tickets.go
@@ -37,9 +37,18 @@
 	p.judgeWaiting(output)
 	p.passOn(now, output, from, fresh)
 	p.noticeGap(now, output, from)
+	p.requestRest(now, output, from, len(tickets))
 	p.schedule.hastenStatus(now)
 }
 
+// requestRest asks for what follows a batch that did not bring this node to
+// where its peers are.
+func (p *Plane) requestRest(now time.Time, output *Output, from state.HostName, batch int) {
+	if from != "" && batch > 1 && p.peers.highest() > p.Head().Judged {
+		p.requestTickets(now, output, from)
+	}
+}
+
 // judgeWaiting judges every ticket whose turn it is. Threads that do so at the
 // same time come to the same result, of which the first is put in force.
 func (p *Plane) judgeWaiting(output *Output) {
--- a/coordination/dissemination/links.go
+++ b/coordination/dissemination/links.go
@@ -52,10 +52,10 @@
 	topology *Topology
 	parents  [TreeCount]state.HostName
 	// seenAt is when each drawn link was last alive, or when it was drawn.
-	seenAt    map[state.HostName]time.Time
-	avoided   map[state.HostName]avoidance
-	repair    []state.HostName
-	repairDue time.Time
+	seenAt   map[state.HostName]time.Time
+	avoided  map[state.HostName]avoidance
+	repair   []state.HostName
+	repairAt time.Time
 }
 
 // avoidance is a parent that was silent.
@@ -207,31 +207,36 @@
 	}
 }
 
-// Repair draws new random peers when that is due, and returns whether it did.
-func (l *Links) Repair(now time.Time, hosts []state.Host, isolated bool) bool {
+// RepairDue reports whether new random peers are to be drawn. A node that has
+// become isolated draws earlier than was planned.
+func (l *Links) RepairDue(now time.Time, isolated bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	interval, count := l.config.RepairInterval, 1
+	latest := now.Add(l.repairInterval(isolated) * 3 / 2)
+	return !now.Before(l.repairAt) || l.repairAt.After(latest)
+}
+
+func (l *Links) repairInterval(isolated bool) time.Duration {
 	if isolated {
-		interval, count = l.config.IsolatedInterval, isolatedPeerCount
-	}
-	latest := now.Add(interval + interval/2)
-	if now.Before(l.repairDue) && l.repairDue.Before(latest) {
-		return false
-	}
-	l.repairDue = now.Add(interval/2 + time.Duration(l.random.Int64N(int64(interval)+1)))
-	l.repair = l.repair[:0:0]
-	for range min(count, len(hosts)) {
-		l.repair = append(l.repair, hosts[l.random.IntN(len(hosts))].Name)
+		return l.config.IsolatedInterval
 	}
-	return true
+	return l.config.RepairInterval
 }
 
-// RepairDue returns when the next random peer is drawn.
-func (l *Links) RepairDue() time.Time {
+// Repair draws new random peers among hosts.
+func (l *Links) Repair(now time.Time, hosts []state.Host, isolated bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.repairDue
+	count := 1
+	if isolated {
+		count = isolatedPeerCount
+	}
+	interval := l.repairInterval(isolated)
+	l.repairAt = now.Add(interval/2 + time.Duration(l.random.Int64N(int64(interval)+1)))
+	l.repair = nil
+	for range min(count, len(hosts)) {
+		l.repair = append(l.repair, hosts[l.random.IntN(len(hosts))].Name)
+	}
 }
 
 // Wanted returns the hosts to which this node keeps a session, without
--- a/protocol/peerwire/exchange_test.go
+++ b/protocol/peerwire/exchange_test.go
@@ -67,29 +67,6 @@
 	bytes    int
 }
 
-type event struct {
-	at     time.Time
-	serial int
-	run    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].serial < q[j].serial
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(e any)   { *q = append(*q, e.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // newExchange returns an exchange with zones times hostsPerZone nodes that are
 // all down.
 func newExchange(t require.TestingT, zones, hostsPerZone int) *exchange {
