Stop all nodes of the demonstration at the same time

Cause: every node now accepts callers for 2 s while it leaves, so that stopping 19 of them one after the other took longer than its limit of 20 s; the demonstration then ended with an error. Change: all nodes of all fleets leave at the same time.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -96,11 +96,13 @@
 func stopAll(shows []*show) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	var problems []error
-	for _, show := range shows {
+	problems := make([]error, len(shows))
+	var threads sync.WaitGroup
+	for i, show := range shows {
 		show.traffic.client.CloseIdleConnections()
-		problems = append(problems, show.fleet.stop(ctx))
+		threads.Go(func() { problems[i] = show.fleet.stop(ctx) })
 	}
+	threads.Wait()
 	return errors.Join(problems...)
 }
 
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/wasabiport/wasabiport"
@@ -195,20 +197,18 @@
 	return nil
 }
 
-// stop ends the nodes gracefully and everything else at once.
+// stop ends all nodes gracefully at the same time, and everything else at once
+// after them.
 func (f *fleet) stop(ctx context.Context) error {
-	var first error
-	for _, host := range f.hosts {
-		node, ok := f.nodes.Get(host.Name)
-		if !ok {
-			continue
-		}
-		if err := node.Leave(ctx); err != nil && first == nil {
-			first = fmt.Errorf("stop the node of %s: %w", host.Name, err)
-		}
+	nodes := f.running()
+	problems := make([]error, len(nodes))
+	var threads sync.WaitGroup
+	for i, node := range nodes {
+		threads.Go(func() { problems[i] = node.Leave(ctx) })
 	}
+	threads.Wait()
 	for _, server := range f.servers {
 		_ = server.Close()
 	}
-	return first
+	return errors.Join(problems...)
 }
