--- a/transport/events/events_test.go
+++ b/transport/events/events_test.go
@@ -60,7 +60,7 @@
 		{"text", FormatText, LevelInfo, rejected, `level=ERROR msg=ticket-rejected event=202 ticket=7 faults=2 path=set reason="is odd"`},
 		{"json", FormatJSON, LevelInfo, SourceFailed{Error: errors.New("refused")}, `"msg":"source-failed","event":301,"error":"refused"`},
 		{"below the level", FormatText, LevelInfo, PeerConnected{Peer: "h"}, ``},
-		{"debug", FormatText, LevelDebug, PeerConnected{Peer: "h"}, `msg=peer-connected event=401 peer=h`},
+		{"debug", FormatText, LevelDebug, PeerConnected{Peer: "h"}, `level=DEBUG msg=peer-connected event=401 peer=h`},
 		{"errors only", FormatText, LevelError, TicketAccepted{}, ``},
 	}
 	for _, tc := range cases {
--- a/transport/events/logger.go
+++ b/transport/events/logger.go
@@ -22,7 +22,7 @@
 // NewLogger returns a logger that writes events up to level to w. It fails
 // for an unknown format.
 func NewLogger(w io.Writer, format Format, level Level) (logr.Logger, error) {
-	options := &slog.HandlerOptions{Level: slogLevel(level)}
+	options := &slog.HandlerOptions{Level: slogLevel(level), ReplaceAttr: nameLevel}
 	switch format {
 	case FormatText:
 		return logr.FromSlogHandler(slog.NewTextHandler(w, options)), nil
@@ -33,6 +33,15 @@
 	}
 }
 
+// nameLevel gives all levels below info, which logr numbers, the same name.
+func nameLevel(groups []string, attribute slog.Attr) slog.Attr {
+	level, ok := attribute.Value.Any().(slog.Level)
+	if ok && len(groups) == 0 && attribute.Key == slog.LevelKey && level < slog.LevelInfo {
+		return slog.String(slog.LevelKey, slog.LevelDebug.String())
+	}
+	return attribute
+}
+
 func slogLevel(level Level) slog.Level {
 	switch level {
 	case LevelError:
