--- a/cmd/wasabiport/command_test.go
+++ b/cmd/wasabiport/command_test.go
@@ -71,7 +71,7 @@
 
 	status, stdout, _ = runCommand(t, "ticket", "check", service, service)
 	require.Equal(t, exitFailed, status)
-	require.Contains(t, stdout, "is 7, but the file before makes this ticket 8")
+	require.Contains(t, stdout, "is 7, but the ticket before makes this ticket 8")
 
 	status, _, _ = runCommand(t, "ticket", "check", "no-such-file.json")
 	require.Equal(t, exitFailed, status)
--- a/cmd/wasabiport/status_test.go
+++ b/cmd/wasabiport/status_test.go
@@ -63,6 +63,24 @@
 	require.Equal(t, "wasabiport: a ticket number is a whole number from 1, not \"first\"\n", stderr)
 }
 
+func TestTicketBaselineFollowsTheLatestTicket(t *testing.T) {
+	url := startOperators(t)
+	status, stdout, stderr := runCommand(t, "ticket", "baseline", "--operator", url)
+	require.Equal(t, exitOK, status, stderr)
+	require.Equal(t, "{\n  \"number\": 3,\n  \"baseline\": true\n}\n", stdout)
+}
+
+func TestTicketCheckOnTheConfigurationOfANode(t *testing.T) {
+	url := startOperators(t)
+	third := writeFile(t, `{"number":3,"set":{"services":[{"name":"s"}]}}`)
+	status, stdout, stderr := runCommand(t, "ticket", "check", "--operator", url, third)
+	require.Equal(t, exitOK, status, stdout+stderr)
+	second := writeFile(t, `{"number":2,"set":{"services":[{"name":"s"}]}}`)
+	status, stdout, _ = runCommand(t, "ticket", "check", "--operator", url, second)
+	require.Equal(t, exitFailed, status)
+	require.Contains(t, stdout, "is 2, but the ticket before makes this ticket 3")
+}
+
 func TestNodeStatus(t *testing.T) {
 	url := startOperators(t)
 	status, stdout, _ := runCommand(t, "node", "status", "--operator", url)
--- a/cmd/wasabiport/ticket.go
+++ b/cmd/wasabiport/ticket.go
@@ -6,6 +6,7 @@
 	return newGroupCommand(
 		"ticket",
 		"Check tickets before they are filed and follow them afterwards",
+		newTicketBaselineCommand(),
 		newTicketCheckCommand(),
 		newTicketStatusCommand(),
 	)
--- a/cmd/wasabiport/ticketcheck.go
+++ b/cmd/wasabiport/ticketcheck.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -29,20 +30,27 @@
 	command := &cobra.Command{
 		Use:   "check FILE...",
 		Short: "Judge ticket files in order, as every node will",
-		Long: `Judges ticket files in the order given, the first on an empty configuration, and
-lists every fault with its place. Give all files since the first ticket or the
-latest baseline. Ends with status 1 when a ticket would be rejected. The file
-"-" is standard input.`,
+		Long: `Judges ticket files in the order given and lists every fault with its place. The
+first is judged on the configuration in force on a node with --operator, and on
+an empty configuration without: then give all files since the first ticket or
+the latest baseline. Ends with status 1 when a ticket would be rejected. The
+file "-" is standard input.`,
 		Example: `  wasabiport ticket check examples/lakeshore/*.json
+  wasabiport ticket check --operator http://10.1.0.11:9090 next.json
   wasabiport ticket check --output json 0001.json 0002.json`,
 		Args: usageArgs(cobra.MinimumNArgs(1)),
 	}
 	output := outputFlag(command)
+	baseURL := command.Flags().String("operator", "", "base URL of the operators' listener of a node, on whose configuration the first file is judged")
 	command.RunE = func(command *cobra.Command, files []string) error {
 		if err := checkOutput(*output); err != nil {
 			return err
 		}
-		checked, err := checkFiles(command.InOrStdin(), files)
+		before, err := configurationBefore(command.Context(), *baseURL)
+		if err != nil {
+			return err
+		}
+		checked, err := checkFiles(command.InOrStdin(), before, files)
 		if err != nil {
 			return err
 		}
@@ -54,16 +62,31 @@
 	return command
 }
 
-func checkFiles(stdin io.Reader, files []string) ([]checkedFile, error) {
-	snapshot := state.EmptySnapshot()
+// configurationBefore returns the configuration in force on a node, or an empty
+// one when baseURL is empty.
+func configurationBefore(ctx context.Context, baseURL string) (*state.Snapshot, error) {
+	if baseURL == "" {
+		return state.EmptySnapshot(), nil
+	}
+	baseline, judged, err := configurationOf(ctx, baseURL)
+	if err != nil {
+		return nil, err
+	}
+	builder := state.NewSnapshotBuilder(nil)
+	builder.Set(baseline.Set)
+	return builder.Build(judged, baseline.Number), nil
+}
+
+func checkFiles(stdin io.Reader, before *state.Snapshot, files []string) ([]checkedFile, error) {
+	snapshot := before
 	var checked []checkedFile
-	for index, file := range files {
+	for _, file := range files {
 		data, err := readTicketFile(stdin, file)
 		if err != nil {
 			return nil, err
 		}
 		ticket := ticketfile.DecodeFile(data)
-		ticket.Malformed = append(ticket.Malformed, checkOrder(index, snapshot, ticket)...)
+		ticket.Malformed = append(ticket.Malformed, checkOrder(snapshot, ticket)...)
 		var verdict state.Verdict
 		snapshot, verdict = acceptance.Judge(snapshot, ticket)
 		checked = append(checked, newCheckedFile(file, verdict))
@@ -72,14 +95,15 @@
 }
 
 // checkOrder returns a fault for a ticket that does not follow the one before.
-func checkOrder(index int, before *state.Snapshot, ticket state.Ticket) []state.Fault {
+func checkOrder(before *state.Snapshot, ticket state.Ticket) []state.Fault {
 	want := before.Judged() + 1
-	if index == 0 || ticket.Number == want || ticket.Baseline {
+	first := before.Judged() == 0
+	if first || ticket.Number == want || ticket.Baseline {
 		return nil
 	}
 	return []state.Fault{{
 		Path:   "number",
-		Reason: fmt.Sprintf("is %d, but the file before makes this ticket %d", ticket.Number, want),
+		Reason: fmt.Sprintf("is %d, but the ticket before makes this ticket %d", ticket.Number, want),
 	}}
 }
 
