Measure what nodes add to a call, and chains of services

wasabiport bench calls runs two nodes on loopback and compares calls through both with direct calls to the same backend server at the same rate in the same run.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -53,6 +53,7 @@
 func All() []Bench {
 	return []Bench{
 		{"converge", "time from filing a ticket until it is in force on every node, control bytes and source reads", converge},
+		{"calls", "latency that nodes add to a call, calls a second, and chains of services", calls},
 	}
 }
 
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -8,6 +8,8 @@
 	unitBytesPerSecond = "B/s"
 	unitReadsPerSecond = "reads/s"
 	unitReads          = "reads"
+	unitCallsPerSecond = "calls/s"
+	unitPercent        = "%"
 	unitCount          = "count"
 )
 
@@ -17,6 +19,12 @@
 	return Result{Name: name, Value: value, Unit: unit, Target: fmt.Sprintf("< %g", bound), Met: &met}
 }
 
+// atMost returns a result whose value must not exceed a bound.
+func atMost(name string, value, bound float64, unit string) Result {
+	met := value <= bound
+	return Result{Name: name, Value: value, Unit: unit, Target: fmt.Sprintf("<= %g", bound), Met: &met}
+}
+
 // plain returns a result without a target.
 func plain(name string, value float64, unit string) Result {
 	return Result{Name: name, Value: value, Unit: unit}
