Send short replies with one write and reuse their buffers

A reply went out as three frames, each with a write of its own, and a call allocated 48 KiB of buffers.

--- a/transport/callstream/body.go
+++ b/transport/callstream/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,10 +12,18 @@
 	"github.com/wasabiport/wasabiport/protocol/wirepb"
 )
 
+// chunkPool holds buffers for one body chunk.
+var chunkPool = sync.Pool{New: func() any {
+	buffer := make([]byte, bodyChunkBytes)
+	return &buffer
+}}
+
 // copyFrames reads a body in chunks and returns the number of bytes that were
 // written.
 func copyFrames(body io.Reader, write func(chunk []byte) error) (uint64, error) {
-	buffer := make([]byte, bodyChunkBytes)
+	pooled := chunkPool.Get().(*[]byte)
+	defer chunkPool.Put(pooled)
+	buffer := *pooled
 	var sent uint64
 	for {
 		n, err := body.Read(buffer)
--- a/transport/callstream/server.go
+++ b/transport/callstream/server.go
@@ -1,9 +1,11 @@
 package callstream
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +50,12 @@
 	_ = stream.Close()
 }
 
+// shortReplyBytes is the length of replies that are sent with one write.
+const shortReplyBytes = 16 << 10
+
+// writerPool holds writers for one short reply or one body chunk.
+var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bodyChunkBytes+1<<10) }}
+
 // refusalGrace is the time to tell the entry node that the deadline passed.
 const refusalGrace = 100 * time.Millisecond
 
@@ -148,20 +156,42 @@
 	return s.send(&wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_Refusal{Refusal: message}})
 }
 
+// sendReply writes a short reply at once, and the parts of a long one, or of
+// one whose length is not known, as they come.
 func (s *server) sendReply(reply *Reply) error {
+	short := reply.Head.ContentLength >= 0 && reply.Head.ContentLength <= shortReplyBytes
+	writer := writerPool.Get().(*bufio.Writer)
+	writer.Reset(s.stream)
+	defer func() {
+		writer.Reset(nil)
+		writerPool.Put(writer)
+	}()
 	head := callwire.EncodeReplyHead(reply.Head)
-	if err := s.send(&wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_Head{Head: head}}); err != nil {
+	if err := frame.Write(writer, &wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_Head{Head: head}}); err != nil {
 		return err
 	}
+	if !short {
+		if err := writer.Flush(); err != nil {
+			return errors.Wrap(err, "send reply head")
+		}
+	}
 	sent, err := copyFrames(reply.Body, func(chunk []byte) error {
-		return s.send(&wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_Body{Body: chunk}})
+		part := &wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_Body{Body: chunk}}
+		if err := frame.Write(writer, part); err != nil || short {
+			return err
+		}
+		return writer.Flush()
 	})
 	if err != nil {
 		// Without an end marker the entry node knows that the body was cut.
-		return errors.Wrap(err, "send reply body")
+		// What came before it tells the caller as much as is known.
+		return errors.CombineErrors(errors.Wrap(err, "send reply body"), writer.Flush())
 	}
 	end := callwire.EncodeEnd(sent, reply.Trailers())
-	return s.send(&wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_End{End: end}})
+	if err := frame.Write(writer, &wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_End{End: end}}); err != nil {
+		return err
+	}
+	return errors.Wrap(writer.Flush(), "send reply")
 }
 
 func (s *server) send(message *wirepb.ReplyFrame) error {
