--- a/internal/faults/callers.go
+++ b/internal/faults/callers.go
@@ -67,9 +67,12 @@
 	if kind.Idempotent {
 		return ""
 	}
-	return uuid.Must(uuid.NewV7()).String()
+	return NewKey()
 }
 
+// NewKey returns an idempotency key that carries the time.
+func NewKey() string { return uuid.Must(uuid.NewV7()).String() }
+
 // Call sends one call as a caller does: a notice that is not known to be done
 // is sent again with the same key.
 func (f *Fleet) Call(kind Kind, entry int) {
@@ -108,7 +111,7 @@
 }
 
 func (f *Fleet) send(ctx context.Context, record *CallRecord) {
-	body := fmt.Appendf(nil, "%s %s at %d", record.Kind.Name, record.Key, record.Started.UnixNano())
+	body := newBody(record)
 	request, err := f.newRequest(ctx, record, body)
 	if err != nil {
 		record.Failure = err.Error()
@@ -123,6 +126,7 @@
 	record.Answered = true
 	record.Status = response.StatusCode
 	record.Outcome = response.Header.Get("Wasabiport-Outcome")
+	record.Reason = response.Header.Get("Wasabiport-Reason")
 	record.CallID = response.Header.Get(standin.HeaderCallID)
 	answer, err := io.ReadAll(response.Body)
 	if err != nil {
@@ -133,17 +137,38 @@
 	record.BodyRight = response.StatusCode != http.StatusOK || isRight(record.Kind, body, answer)
 }
 
+// newBody returns the body of a call, padded to the length of its kind. A
+// resend with the same key and a crashing call that is sent again have the
+// same body; no two others have.
+func newBody(record *CallRecord) []byte {
+	body := fmt.Appendf(nil, "%s %s ", record.Kind.Name, record.Key)
+	if record.Key == "" && !record.Kind.Crashes {
+		body = fmt.Appendf(body, "at %d ", record.Started.UnixNano())
+	}
+	for len(body) < record.Kind.BodyBytes {
+		body = append(body, body[:min(len(body), record.Kind.BodyBytes-len(body))]...)
+	}
+	return body
+}
+
 func (f *Fleet) newRequest(ctx context.Context, record *CallRecord, body []byte) (*http.Request, error) {
 	url := "http://" + callerAddress(record.SentToHost) + record.Kind.Path
 	request, err := http.NewRequestWithContext(ctx, record.Kind.Method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
+	if record.Kind.Chunked {
+		request.ContentLength = -1
+	}
 	request.Header.Set("Wasabiport-Caller", "contractor")
+	request.Header.Set(standin.HeaderChunkInterval, record.Kind.ChunkInterval.String())
 	request.Header.Set(standin.HeaderServiceTime, record.Kind.ServiceTime.String())
 	if record.Key != "" {
 		request.Header.Set(standin.HeaderIdempotencyKey, record.Key)
 	}
+	if record.Kind.Timeout > 0 {
+		request.Header.Set("Wasabiport-Timeout", record.Kind.Timeout.String())
+	}
 	if record.Kind.Crashes {
 		request.Header.Set(standin.HeaderCrash, "1")
 	}
--- a/internal/faults/fault.go
+++ b/internal/faults/fault.go
@@ -77,7 +77,7 @@
 		},
 		{
 			Name:  "updates cross",
-			Begin: func(_ context.Context, f *Fleet) error { return f.crossUpdates() },
+			Begin: func(_ context.Context, f *Fleet) error { return f.CrossUpdates() },
 			End:   heal,
 		},
 		{
@@ -198,9 +198,9 @@
 	return nil
 }
 
-// crossUpdates files a good, a bad and a good ticket at once while half of the
+// CrossUpdates files a good, a bad and a good ticket at once while half of the
 // hosts hear from the platform late.
-func (f *Fleet) crossUpdates() error {
+func (f *Fleet) CrossUpdates() error {
 	f.Network.Delay([]string{platformEndpoint}, f.nodeEndpoints()[:hostCount/2], lateMessage)
 	if err := f.FileTicket(); err != nil {
 		return err
--- a/internal/faults/history.go
+++ b/internal/faults/history.go
@@ -17,6 +17,7 @@
 	Started    time.Time
 	Ended      time.Time
 	Outcome    string
+	Reason     string
 	Status     int
 	Answered   bool
 	BodyEnded  bool
--- a/internal/faults/kind.go
+++ b/internal/faults/kind.go
@@ -16,8 +16,18 @@
 	Idempotent bool
 	// AnswerBytes asks for an answer of this length; 0 asks for an echo.
 	AnswerBytes int
+	// ChunkInterval is the pause of the backend server after each part of
+	// its answer.
+	ChunkInterval time.Duration
+	// BodyBytes is the length of the request's body; a shorter one names the
+	// call.
+	BodyBytes int
+	// Chunked sends the body, and gets the echo, without its length.
+	Chunked bool
 	// ServiceTime is how long a backend server takes for it.
 	ServiceTime time.Duration
+	// Timeout is how long the caller gives the call; 0 leaves it to the route.
+	Timeout time.Duration
 	// Crashes says that each backend server that runs it crashes.
 	Crashes bool
 }
@@ -43,22 +53,27 @@
 	}
 	// Drawing is a large download.
 	Drawing = Kind{
-		Name:        "drawing",
-		Method:      http.MethodGet,
-		Path:        "/drawings",
-		Class:       state.ClassNormal,
-		Idempotent:  true,
-		AnswerBytes: 300 << 10,
-		ServiceTime: 20 * time.Millisecond,
+		Name:          "drawing",
+		Method:        http.MethodGet,
+		Path:          "/drawings",
+		Class:         state.ClassNormal,
+		Idempotent:    true,
+		AnswerBytes:   300 << 10,
+		ChunkInterval: 4 * time.Millisecond,
+		ServiceTime:   20 * time.Millisecond,
 	}
-	// Browse is work that can wait.
+	// Browse is work that can wait. Its body goes both ways without a length,
+	// so that only an end marker tells a whole one from a cut one.
 	Browse = Kind{
-		Name:        "browse",
-		Method:      http.MethodGet,
-		Path:        "/browse",
-		Class:       state.ClassBackground,
-		Idempotent:  true,
-		ServiceTime: 40 * time.Millisecond,
+		Name:          "browse",
+		Method:        http.MethodPost,
+		BodyBytes:     150 << 10,
+		ChunkInterval: 4 * time.Millisecond,
+		Chunked:       true,
+		Path:          "/browse",
+		Class:         state.ClassBackground,
+		Idempotent:    true,
+		ServiceTime:   40 * time.Millisecond,
 	}
 )
 
--- /dev/null
+++ b/internal/faults/session.go
@@ -0,0 +1,116 @@
+package faults
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/operator"
+)
+
+// Session writes down, as text that is the same on every run, what operators,
+// callers and backend servers see of a fleet.
+type Session struct {
+	fleet *Fleet
+	text  strings.Builder
+}
+
+// NewSession returns an empty session of a fleet.
+func NewSession(f *Fleet) *Session { return &Session{fleet: f} }
+
+// Text returns what was written down.
+func (s *Session) Text() []byte { return []byte(s.text.String()) }
+
+func (s *Session) line(format string, args ...any) {
+	fmt.Fprintf(&s.text, format+"\n", args...)
+}
+
+// Say writes a line down and then does what it says.
+func (s *Session) Say(what string, do func() error) error {
+	s.line("%s", what)
+	return do()
+}
+
+// Wait lets virtual time pass.
+func (s *Session) Wait(duration time.Duration) {
+	s.line("... %v later", duration)
+	time.Sleep(duration)
+}
+
+// Nodes writes down how far every node has come.
+func (s *Session) Nodes() {
+	client := s.fleet.client(callerEndpoint)
+	for i := range hostCount {
+		var status operator.NodeStatus
+		body, err := s.fleet.ask(client, i, "/v1/node")
+		if err == nil {
+			err = json.Unmarshal(body, &status)
+		}
+		if err != nil {
+			s.line("  node %s: no answer", hostOf(i).Name)
+			continue
+		}
+		s.line("  node %s: judged %d, accepted %d, %s", status.Host, status.Judged, status.Accepted, readiness(status))
+	}
+}
+
+func readiness(status operator.NodeStatus) string {
+	if status.Ready {
+		return "ready"
+	}
+	return "not ready: " + status.NotReady
+}
+
+// Ticket writes down where a ticket stands as the node of a host tells it.
+func (s *Session) Ticket(host int, number state.TicketNumber) error {
+	body, err := s.fleet.ask(s.fleet.client(callerEndpoint), host, fmt.Sprintf("/v1/tickets/%d", number))
+	if err != nil {
+		return err
+	}
+	var status operator.TicketStatus
+	if err := json.Unmarshal(body, &status); err != nil {
+		return err
+	}
+	s.line("  ticket %d, asked at %s: %s", number, hostOf(host).Name, status.Verdict)
+	for _, fault := range status.Faults {
+		s.line("    fault at %s: %s", fault.Path, fault.Reason)
+	}
+	for _, zone := range status.Zones {
+		s.line("    %s: hosts %d, in force %d, rejected %d, behind %d, not heard from %d",
+			zone.Zone, zone.Hosts, zone.InForce, zone.Rejected, zone.Behind, zone.NotHeard)
+	}
+	for _, zone := range status.UnseenZones {
+		s.line("    %s can't be seen", zone)
+	}
+	return nil
+}
+
+// Send sends one call and writes down what its caller sees.
+func (s *Session) Send(kind Kind, entry int, key string) {
+	record := s.fleet.attempt(kind, entry, key)
+	if !record.Answered {
+		s.line("  %s at %s: no answer", kind.Name, hostOf(entry).Name)
+		return
+	}
+	s.line("  %s at %s: status %d, %s %s", kind.Name, hostOf(entry).Name, record.Status, record.Outcome, record.Reason)
+}
+
+// Runs writes down how often a call with a key has run.
+func (s *Session) Runs(key string) {
+	runs := 0
+	for _, backend := range s.fleet.backends {
+		runs += backend.Runs(key)
+	}
+	s.line("  runs: %d", runs)
+}
+
+// Crashes writes down how many crashes the backend servers had together.
+func (s *Session) Crashes() {
+	crashes := 0
+	for _, backend := range s.fleet.backends {
+		crashes += backend.Crashes()
+	}
+	s.line("  crashes of backend servers: %d", crashes)
+}
--- a/internal/faults/step.go
+++ b/internal/faults/step.go
@@ -28,8 +28,9 @@
 	untilSent = 3*linkLatency + linkLatency/2
 	// untilQueued is a moment at which a call waits at a full guard.
 	untilQueued = 20 * time.Millisecond
-	// untilAnswering is a moment at which a drawing is being streamed.
-	untilAnswering = 35 * time.Millisecond
+	// untilAnswering is a moment at which a drawing is being streamed: its
+	// service time is over and a part of its chunks has been sent.
+	untilAnswering = 60 * time.Millisecond
 	// untilReported covers the report of a ticket that is in force.
 	untilReported = 500 * time.Millisecond
 	// pollInterval is how often a condition is looked at.
@@ -74,7 +75,12 @@
 			key := f.startNotice()
 			return f.waitFor(ctx, func(f *Fleet) bool { return f.History.hasRun(key) })
 		}},
-		{Name: "call answering", Reach: startCall(Drawing, untilAnswering)},
+		{Name: "call answering", Reach: func(ctx context.Context, f *Fleet) error {
+			if err := startCall(Browse, 0)(ctx, f); err != nil {
+				return err
+			}
+			return startCall(Drawing, untilAnswering)(ctx, f)
+		}},
 		{Name: "call answered", Reach: func(_ context.Context, f *Fleet) error {
 			f.Call(Notice, 0)
 			return nil
--- a/internal/standin/backendserver.go
+++ b/internal/standin/backendserver.go
@@ -19,6 +19,9 @@
 	HeaderCrash = "Standin-Crash"
 	// HeaderAnswerBytes asks for an answer of this many bytes.
 	HeaderAnswerBytes = "Standin-Answer-Bytes"
+	// HeaderChunkInterval asks for a pause, such as "4ms", after each part of
+	// an answer, which has at most 16 KiB.
+	HeaderChunkInterval = "Standin-Chunk-Interval"
 	// HeaderServiceTime asks for another service time, such as "20ms".
 	HeaderServiceTime = "Standin-Service-Time"
 	// HeaderServedBy names the backend server in answers.
@@ -200,9 +203,11 @@
 
 func (b *BackendServer) answer(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(HeaderServedBy, b.config.Name)
+	interval, _ := time.ParseDuration(r.Header.Get(HeaderChunkInterval))
+	paced := &pacedWriter{writer: w, interval: interval}
 	if size, err := strconv.ParseInt(r.Header.Get(HeaderAnswerBytes), 10, 64); err == nil {
 		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
-		writePattern(w, size)
+		writePattern(paced, size)
 		return
 	}
 	if r.ContentLength >= 0 {
@@ -211,8 +216,13 @@
 	if contentType := r.Header.Get("Content-Type"); contentType != "" {
 		w.Header().Set("Content-Type", contentType)
 	}
-	// The caller has gone when the copy fails.
-	_, _ = io.Copy(w, r.Body)
+	// An echo reads the request while it writes the answer. Servers of
+	// HTTP/2 do that anyway and say that this is not supported.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	if _, err := io.CopyBuffer(paced, r.Body, make([]byte, streamChunkBytes)); err != nil {
+		// The echo would else end as if it were whole.
+		breakConnection(w)
+	}
 }
 
 // writePattern writes size bytes that repeat the letters a to z.
@@ -231,6 +241,24 @@
 	}
 }
 
+// pacedWriter pauses after each write.
+type pacedWriter struct {
+	writer   http.ResponseWriter
+	interval time.Duration
+}
+
+func (p *pacedWriter) Write(chunk []byte) (int, error) {
+	n, err := p.writer.Write(chunk)
+	if err != nil || p.interval <= 0 {
+		return n, err
+	}
+	if err := http.NewResponseController(p.writer).Flush(); err != nil {
+		return n, err
+	}
+	time.Sleep(p.interval)
+	return n, nil
+}
+
 // PatternByte returns the byte at an offset of an answer that was asked for
 // with HeaderAnswerBytes.
 func PatternByte(offset int64) byte { return byte('a' + offset%26) }
