Send the wanted time of a call, and fuzz the call messages

The head on the wire lacked the time by which the users want the answer, so admission at another host knew the deadline only. The new test compares all fields of a head before and after the wire and failed for this one.

--- /dev/null
+++ b/protocol/callwire/fuzz_test.go
@@ -0,0 +1,70 @@
+package callwire_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/protocol/callwire"
+	"github.com/wasabiport/wasabiport/protocol/frame"
+	"github.com/wasabiport/wasabiport/protocol/wirepb"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+var now = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// FuzzDecodeHead checks that a head is refused as malformed or keeps its
+// meaning when it is encoded again.
+func FuzzDecodeHead(f *testing.F) {
+	seed, err := proto.Marshal(callwire.EncodeHead(now, call.Head{
+		ID: "id-1", BackendServer: "desk-0", Class: state.ClassHigh, Deadline: now.Add(time.Second), Wanted: now.Add(time.Millisecond),
+		Method: "GET", Target: "/", Fields: []call.Field{{Name: "A", Value: "b"}},
+	}))
+	require.NoError(f, err)
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var message wirepb.CallHead
+		if proto.Unmarshal(raw, &message) != nil {
+			return
+		}
+		head, err := callwire.DecodeHead(now, &message)
+		if err != nil {
+			require.True(t, errors.Is(err, frame.ErrMalformed), err)
+			return
+		}
+		require.True(t, head.Class.Valid())
+		again, err := callwire.DecodeHead(now, callwire.EncodeHead(now, head))
+		require.NoError(t, err)
+		require.Equal(t, head, again)
+	})
+}
+
+func TestHeadKeepsAllItsFieldsOnTheWire(t *testing.T) {
+	head := call.Head{
+		ID: "id-1", Ticket: 7, Route: "status", BackendServer: "desk-0", Class: state.ClassNormal, Caller: "clinic-7",
+		Deadline: now.Add(time.Second), Wanted: now.Add(time.Millisecond), Fingerprint: 9, IdempotencyKey: "k",
+		Idempotent: true, Method: "PUT", Target: "/a?b", Authority: "desk.example",
+		Fields: []call.Field{{Name: "A", Value: "b"}}, ContentLength: -1,
+	}
+	decoded, err := callwire.DecodeHead(now, callwire.EncodeHead(now, head))
+	require.NoError(t, err)
+	require.Equal(t, head, decoded)
+}
+
+// FuzzDecodeRefusal checks that only a plain "not run" is taken for one.
+func FuzzDecodeRefusal(f *testing.F) {
+	f.Add(uint32(state.OutcomeNotRun), uint32(1), int64(0))
+	f.Add(uint32(state.OutcomeDone), uint32(99), int64(-1))
+	f.Fuzz(func(t *testing.T, outcome, reason uint32, retryAfter int64) {
+		refusal, _ := callwire.DecodeRefusal(&wirepb.Refusal{
+			Outcome: outcome, Reason: reason, RetryAfterNanos: retryAfter,
+		})
+		require.Equal(t, outcome == uint32(state.OutcomeNotRun), refusal.Outcome == state.OutcomeNotRun)
+		require.NotEqual(t, state.OutcomeDone, refusal.Outcome)
+		require.NotEmpty(t, refusal.Reason.String())
+	})
+}
--- a/protocol/callwire/head.go
+++ b/protocol/callwire/head.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/protocol/frame"
@@ -15,7 +16,7 @@
 // EncodeHead returns the protobuf form of a call's head. The deadline is sent
 // as the time that remains at now.
 func EncodeHead(now time.Time, head call.Head) *wirepb.CallHead {
-	return &wirepb.CallHead{
+	message := &wirepb.CallHead{
 		Id:             string(head.ID),
 		Ticket:         uint64(head.Ticket),
 		Route:          string(head.Route),
@@ -32,6 +33,17 @@
 		Fields:         encodeFields(head.Fields),
 		ContentLength:  head.ContentLength,
 	}
+	if !head.Wanted.IsZero() {
+		message.WantedNanos = proto.Int64(int64(head.Wanted.Sub(now)))
+	}
+	return message
+}
+
+// maxRemaining bounds the times that a head carries, in both directions.
+const maxRemaining = 24 * time.Hour
+
+func plausible(nanos int64) bool {
+	return time.Duration(nanos).Abs() <= maxRemaining
 }
 
 // DecodeHead returns the head of a call. Its errors are marked with
@@ -43,7 +55,13 @@
 	if message.GetId() == "" || message.GetBackendServer() == "" {
 		return call.Head{}, malformed("call names no id or no backend server")
 	}
-	return call.Head{
+	if !plausible(message.GetRemainingNanos()) || !plausible(message.GetWantedNanos()) {
+		return call.Head{}, malformed("call has a deadline more than %s away", maxRemaining)
+	}
+	if message.GetContentLength() < -1 {
+		return call.Head{}, malformed("call has the body length %d", message.GetContentLength())
+	}
+	head := call.Head{
 		ID:             state.CallID(message.GetId()),
 		Ticket:         state.TicketNumber(message.GetTicket()),
 		Route:          state.RouteName(message.GetRoute()),
@@ -59,7 +77,11 @@
 		Authority:      message.GetAuthority(),
 		Fields:         decodeFields(message.GetFields()),
 		ContentLength:  message.GetContentLength(),
-	}, nil
+	}
+	if message.WantedNanos != nil {
+		head.Wanted = now.Add(time.Duration(message.GetWantedNanos()))
+	}
+	return head, nil
 }
 
 // EncodeReplyHead returns the protobuf form of a reply's head.
