Quarantine requests that crash backend servers, and follow key owners

The guard counts a connection that breaks during a call as a crash, once for all calls that were in flight, runs suspects alone and refuses quarantined requests, and looks again when a call has waited. Telling the other guards is not wired yet. Records now know since when their guard has been the one to ask for a key.

--- a/node.go
+++ b/node.go
@@ -95,6 +95,7 @@
 	callers := entry.LimitConnections(n.listeners.callers, n.config.MaxConnectionsPerAddress)
 	n.threads.Go(func() { _ = n.callers.Serve(callers) })
 	n.threads.Go(func() { _ = n.operators.Serve(n.listeners.operators) })
+	n.threads.Go(n.guard.Watch)
 	n.loop.Start(n.pool)
 }
 
--- a/providers.go
+++ b/providers.go
@@ -13,7 +13,9 @@
 	"github.com/wasabiport/wasabiport/coordination/callerlimit"
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
 	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/coordination/picking"
+	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
@@ -83,12 +85,27 @@
 
 func newLogger(config Config) logr.Logger { return config.Logger }
 
-func newRecords(started incarnation) *callrecord.Records {
-	return callrecord.New(callrecord.Config{Started: time.Unix(0, int64(started))})
+// ownerMemory is how far back a guard knows which keys it had to answer for.
+// It is longer than any record is kept.
+const ownerMemory = 24 * time.Hour
+
+func newGuardDecisions(started incarnation) guard.Decisions {
+	owners := keyowner.NewHistory(ownerMemory)
+	settings := callrecord.Config{Owners: owners, Started: time.Unix(0, int64(started))}
+	return guard.Decisions{
+		Records:  callrecord.New(settings),
+		Suspects: quarantine.NewSuspects(quarantine.Config{}),
+		Owners:   owners,
+	}
 }
 
-func newGuard(config Config, snapshots *state.SnapshotStore, records *callrecord.Records) *guard.Guard {
-	return guard.New(config.Self.Name, snapshots, records, config.Network)
+func newGuard(
+	config Config,
+	snapshots *state.SnapshotStore,
+	decisions guard.Decisions,
+	logger logr.Logger,
+) *guard.Guard {
+	return guard.New(config.Self.Name, snapshots, decisions, config.Network, logger)
 }
 
 func newCallMetrics(registry *prometheus.Registry, guard *guard.Guard) (*metrics.Calls, error) {
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 
 	"github.com/wasabiport/wasabiport/coordination/admission"
 	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 )
@@ -20,6 +22,9 @@
 	server    state.BackendServer
 	service   state.Service
 	transport *http.Transport
+	suspects  *quarantine.Suspects
+	inFlight  *inFlight
+	logger    logr.Logger
 }
 
 // handle runs a call once it has a slot. The call gives up its place in the
@@ -31,7 +36,10 @@
 	body io.Reader,
 	beforeSend func(),
 ) (*callstream.Reply, *state.Refusal) {
-	pass := g.admission.Request(time.Now(), head)
+	pass, alone, refusal := g.request(head)
+	if refusal != nil {
+		return nil, refusal
+	}
 	select {
 	case <-pass.Decided():
 	case <-waitCtx.Done():
@@ -41,7 +49,18 @@
 	if refusal := pass.Refusal(); refusal != nil {
 		return nil, refusal
 	}
-	release := func(result admission.Result) { g.admission.ReleaseAfter(time.Now(), pass, result) }
+	release := func(result admission.Result) {
+		g.inFlight.remove(head.ID)
+		if alone && result == admission.ResultAnswered {
+			g.suspects.Survived(time.Now(), head.Fingerprint)
+		}
+		g.admission.ReleaseAfter(time.Now(), pass, result)
+	}
+	if refusal := g.recheck(head, alone); refusal != nil {
+		release(admission.ResultBroken)
+		return nil, refusal
+	}
+	g.inFlight.add(head.ID, head.Fingerprint)
 	reply, refusal := g.run(runCtx, head, body, beforeSend, release)
 	if refusal != nil {
 		release(admission.ResultBroken)
@@ -112,14 +131,19 @@
 		server:    server,
 		service:   service,
 		transport: g.newTransport(server),
+		suspects:  g.decisions.Suspects,
+		inFlight:  newInFlight(),
+		logger:    g.logger,
 	}
 }
 
 // changed returns a gate with new settings that shares the slots in use.
 func (g *Guard) changed(old *gate, server state.BackendServer, service state.Service) *gate {
-	next := &gate{admission: old.admission, server: server, service: service, transport: old.transport}
+	next := *old
+	next.server = server
+	next.service = service
 	if server.Address != old.server.Address || server.Connections != old.server.Connections {
 		next.transport = g.newTransport(server)
 	}
-	return next
+	return &next
 }
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -9,9 +9,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
+	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
@@ -24,29 +27,43 @@
 	host      state.HostName
 	network   network.Network
 	snapshots *state.SnapshotStore
-	records   *callrecord.Records
+	decisions Decisions
+	logger    logr.Logger
 	gates     *state.ShardedMap[state.BackendServerName, *gate]
 	leaving   atomic.Bool
+	// left is closed when the guard begins to leave.
+	left chan struct{}
 
 	// ctx ends with the guard.
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
+// Decisions are the parts that decide on calls beside the admission.
+type Decisions struct {
+	Records  *callrecord.Records
+	Suspects *quarantine.Suspects
+	// Owners is what Records knows the owners of keys from.
+	Owners *keyowner.History
+}
+
 // New returns a guard for the backend servers of a host.
 func New(
 	host state.HostName,
 	snapshots *state.SnapshotStore,
-	records *callrecord.Records,
+	decisions Decisions,
 	network network.Network,
+	logger logr.Logger,
 ) *Guard {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Guard{
 		host:      host,
 		network:   network,
 		snapshots: snapshots,
-		records:   records,
+		decisions: decisions,
+		logger:    logger,
 		gates:     state.NewShardedMap[state.BackendServerName, *gate](state.DefaultShardCount),
+		left:      make(chan struct{}),
 		ctx:       ctx,
 		cancel:    cancel,
 	}
@@ -94,7 +111,9 @@
 
 // Leave refuses all waiting and new calls from now on. Calls that run finish.
 func (g *Guard) Leave() {
-	g.leaving.Store(true)
+	if !g.leaving.Swap(true) {
+		close(g.left)
+	}
 	for _, gate := range g.allGates() {
 		gate.admission.Drain(time.Now())
 	}
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -12,10 +12,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
+	"github.com/wasabiport/wasabiport/coordination/keyowner"
+	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/guard"
@@ -42,8 +45,12 @@
 	snapshots := state.NewSnapshotStore(1)
 	require.True(t, snapshots.Swap(builder.Build(1, 1)))
 	memory := network.NewMemory()
-	records := callrecord.New(callrecord.Config{Started: time.Now().Add(-time.Hour)})
-	return &rig{t: t, network: memory, guard: guard.New("host-0", snapshots, records, memory)}
+	decisions := guard.Decisions{
+		Records:  callrecord.New(callrecord.Config{Started: time.Now().Add(-time.Hour)}),
+		Suspects: quarantine.NewSuspects(quarantine.Config{}),
+		Owners:   keyowner.NewHistory(time.Hour),
+	}
+	return &rig{t: t, network: memory, guard: guard.New("host-0", snapshots, decisions, memory, logr.Discard())}
 }
 
 // serve answers each connection to the backend server with handle.
@@ -267,3 +274,26 @@
 		require.NoError(t, <-drained)
 	})
 }
+
+func TestRequestThatCrashesTheBackendServerTwiceIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 10)
+		defer r.guard.Shutdown()
+		var received atomic.Int32
+		r.serve(func(conn net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				received.Add(1)
+			}
+			_ = conn.Close()
+		})
+		for range 2 {
+			_, refusal := r.do(http.MethodPost, "")
+			require.Equal(t, state.OutcomeMayHaveRun, refusal.Outcome)
+			time.Sleep(2 * time.Second)
+		}
+		_, refusal := r.do(http.MethodPost, "")
+		require.Equal(t, state.RefusedQuarantined, refusal.Reason)
+		require.Equal(t, state.OutcomeNotRun, refusal.Outcome)
+		require.EqualValues(t, 2, received.Load())
+	})
+}
--- a/transport/guard/keyed.go
+++ b/transport/guard/keyed.go
@@ -20,11 +20,11 @@
 	head call.Head,
 	body io.Reader,
 ) (*callstream.Reply, *state.Refusal) {
-	claim := g.records.Begin(time.Now(), head, gate.service)
+	claim := g.decisions.Records.Begin(time.Now(), head, gate.service)
 	if claim.Kind == callrecord.ClaimWait {
 		select {
 		case <-claim.Done:
-			claim = g.records.Result(claim)
+			claim = g.decisions.Records.Result(claim)
 		case <-ctx.Done():
 			return nil, stillRunning(ctx.Err())
 		}
@@ -49,18 +49,18 @@
 	body io.Reader,
 ) (*callstream.Reply, *state.Refusal) {
 	runCtx, cancel := context.WithDeadline(g.ctx, head.Deadline)
-	beforeSend := func() { g.records.Sent(time.Now(), claim) }
+	beforeSend := func() { g.decisions.Records.Sent(time.Now(), claim) }
 	reply, refusal := gate.handle(ctx, runCtx, head, body, beforeSend)
 	if refusal != nil {
 		cancel()
-		return nil, g.records.Fail(time.Now(), claim, refusal)
+		return nil, g.decisions.Records.Fail(time.Now(), claim, refusal)
 	}
 	reply.Body = &recordedBody{
 		ReadCloser: reply.Body,
 		trailers:   reply.Trailers,
-		records:    g.records,
+		records:    g.decisions.Records,
 		claim:      claim,
-		recording:  g.records.NewRecording(reply.Head),
+		recording:  g.decisions.Records.NewRecording(reply.Head),
 		cancel:     cancel,
 	}
 	return reply, nil
--- a/transport/guard/reply.go
+++ b/transport/guard/reply.go
@@ -16,10 +16,20 @@
 	"github.com/wasabiport/wasabiport/transport/callstream"
 )
 
-// newReply returns the reply of a backend server. It calls release once the
-// body is closed.
-func newReply(id state.CallID, response *http.Response, release func(admission.Result)) *callstream.Reply {
-	body := &releasingBody{ReadCloser: response.Body, release: release, result: admission.ResultBroken}
+// newReply returns the reply of a backend server. It calls cut when the body
+// breaks off, and release once it is closed.
+func newReply(
+	id state.CallID,
+	response *http.Response,
+	cut func(),
+	release func(admission.Result),
+) *callstream.Reply {
+	body := &releasingBody{
+		ReadCloser: response.Body,
+		cut:        cut,
+		release:    release,
+		result:     admission.ResultBroken,
+	}
 	if httpmap.Shed(response.StatusCode, response.Header) {
 		body.result = admission.ResultShed
 	}
@@ -49,6 +59,7 @@
 // releasingBody gives the slot back when the body is closed.
 type releasingBody struct {
 	io.ReadCloser
+	cut     func()
 	release func(admission.Result)
 	result  admission.Result
 	once    sync.Once
@@ -56,7 +67,11 @@
 
 func (b *releasingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && b.result == admission.ResultBroken {
+	switch {
+	case err == nil:
+	case !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		b.cut()
+	case b.result == admission.ResultBroken:
 		b.result = admission.ResultAnswered
 	}
 	return n, err
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -51,6 +51,9 @@
 	response, err := g.transport.RoundTrip(request) //nolint:bodyclose // closed with the reply's body
 	if err != nil {
 		refusal := failure(ctx, delivery.end())
+		if refusal.Reason == state.RefusedBackendServerFailed && refusal.Outcome == state.OutcomeMayHaveRun {
+			g.crashed(head.ID)
+		}
 		cancel(err)
 		return nil, refusal
 	}
@@ -59,7 +62,12 @@
 		cancel(nil)
 		return nil, state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server changed the protocol")
 	}
-	return newReply(head.ID, response, func(result admission.Result) {
+	cut := func() {
+		if ctx.Err() == nil {
+			g.crashed(head.ID)
+		}
+	}
+	return newReply(head.ID, response, cut, func(result admission.Result) {
 		cancel(nil)
 		release(result)
 	}), nil
--- a/wire.go
+++ b/wire.go
@@ -37,7 +37,7 @@
 	newPlane,
 	newPicker,
 	newSource,
-	newRecords,
+	newGuardDecisions,
 	newLogger,
 	newGuard,
 	newCallMetrics,
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -27,10 +27,10 @@
 	snapshotStore := newSnapshotStore()
 	wasabiportIncarnation := newIncarnation()
 	plane := newPlane(config, wasabiportIncarnation, snapshotStore)
-	records := newRecords(wasabiportIncarnation)
-	guard := newGuard(config, snapshotStore, records)
-	client := newSource(config)
+	decisions := newGuardDecisions(wasabiportIncarnation)
 	logger := newLogger(config)
+	guard := newGuard(config, snapshotStore, decisions, logger)
+	client := newSource(config)
 	loop := controlloop.New(plane, client, logger)
 	peeringConfig := newPeeringConfig(config, wasabiportIncarnation)
 	network := newNetwork(config)
@@ -47,12 +47,12 @@
 	}
 	pool := peering.NewPool(peeringConfig, network, security, wasabiportPeerHandler, limiter, metrics)
 	picker := newPicker(config, plane)
-	decisions := newDecisions(config, picker)
+	entryDecisions := newDecisions(config, picker)
 	calls, err := newCallMetrics(registry, guard)
 	if err != nil {
 		return nil, err
 	}
-	handler := newEntry(config, decisions, snapshotStore, plane, plane, pool, guard, calls)
+	handler := newEntry(config, entryDecisions, snapshotStore, plane, plane, pool, guard, calls)
 	server := newCallerServer(config, handler)
 	node, err := newNode(config, snapshotStore, plane, guard, loop, pool, handler, server, registry)
 	if err != nil {
@@ -78,7 +78,7 @@
 	newRegistry, wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)), newPlane,
 	newPicker,
 	newSource,
-	newRecords,
+	newGuardDecisions,
 	newLogger,
 	newGuard,
 	newCallMetrics,
