Draw a random repair peer once a minute, and set the expected fleet

Cause: OfferInterval kept its first meaning in the node's settings; with the trees in place 5 s means a new session every 5 s on every node. The number of hosts that spreads the first reads of a fleet could not be set. Change: OfferInterval defaults to 60 s; ExpectedHosts is a setting of the library and of the command.

--- a/cmd/wasabiport/node.go
+++ b/cmd/wasabiport/node.go
@@ -88,6 +88,7 @@
 	config.OperatorAddress = loaded.OperatorAddress
 	config.PlatformURL = loaded.PlatformURL
 	config.OfferInterval = loaded.OfferInterval
+	config.ExpectedHosts = loaded.ExpectedHosts
 	config.SourceRetryInterval = loaded.SourceRetryInterval
 	config.HandshakeTimeout = loaded.HandshakeTimeout
 	config.RedialInterval = loaded.RedialInterval
--- a/cmd/wasabiport/settings/node.go
+++ b/cmd/wasabiport/settings/node.go
@@ -25,7 +25,8 @@
 	PlatformURL     string        `flag:"platform-url" rule:"url" usage:"base URL of the platform's configuration service"`
 	LeaveTimeout    time.Duration `flag:"leave-timeout" rule:"positive" usage:"longest time for calls to finish after SIGTERM; a longer one lets slow calls end, a shorter one frees the host sooner"`
 
-	OfferInterval       time.Duration `flag:"offer-interval" rule:"positive" usage:"mean time between two exchanges of digests with a random peer; shorter repairs lost messages sooner and costs control bytes"`
+	OfferInterval       time.Duration `flag:"offer-interval" rule:"positive" usage:"mean time between two choices of a random peer to exchange digests with; shorter heals unlucky trees sooner and costs a session each"`
+	ExpectedHosts       int           `flag:"expected-hosts" rule:"positive" usage:"number of hosts that is assumed until the host list is known; smaller lets a small fleet start sooner, below the size of the fleet lets a restart of everything exceed the platform's rate"`
 	SourceRetryInterval time.Duration `flag:"source-retry-interval" rule:"positive" usage:"time after which a platform that failed is read again; shorter sees it come back sooner and costs reads"`
 	HandshakeTimeout    time.Duration `flag:"handshake-timeout" rule:"positive" usage:"longest time to open a session to another node"`
 	RedialInterval      time.Duration `flag:"redial-interval" rule:"positive" usage:"time between two tries to reach another node"`
@@ -50,6 +51,7 @@
 		OperatorAddress:          "127.0.0.1:9090",
 		LeaveTimeout:             defaultLeaveTimeout,
 		OfferInterval:            library.OfferInterval,
+		ExpectedHosts:            library.ExpectedHosts,
 		SourceRetryInterval:      library.SourceRetryInterval,
 		HandshakeTimeout:         library.HandshakeTimeout,
 		RedialInterval:           library.RedialInterval,
--- a/config.go
+++ b/config.go
@@ -25,10 +25,17 @@
 	// No default.
 	PlatformURL string
 
-	// OfferInterval is the mean time between two exchanges of digests with a
-	// random peer, which make up for lost messages. A shorter one repairs
-	// sooner and costs more control bytes. Default 5 s.
+	// OfferInterval is the mean time between two choices of a random peer to
+	// exchange digests with, besides the peers of the trees, which do so all
+	// the time. A shorter one heals unlucky trees sooner and costs a session
+	// each. Default 60 s.
 	OfferInterval time.Duration
+	// ExpectedHosts is the number of hosts that is assumed until the host
+	// list is known; it spreads the first reads of a fleet that starts at
+	// once. A smaller one lets a small fleet start sooner; one below the size
+	// of the fleet lets a restart of everything exceed the platform's rate.
+	// Default 1,000.
+	ExpectedHosts int
 	// SourceRetryInterval is the time after which a source that failed is
 	// read again. Default 1 s.
 	SourceRetryInterval time.Duration
@@ -73,7 +80,8 @@
 // DefaultConfig returns the settings for a fleet in a few regions.
 func DefaultConfig() Config {
 	return Config{
-		OfferInterval:            5 * time.Second,
+		OfferInterval:            time.Minute,
+		ExpectedHosts:            1000,
 		SourceRetryInterval:      time.Second,
 		HandshakeTimeout:         3 * time.Second,
 		RedialInterval:           time.Second,
--- a/providers.go
+++ b/providers.go
@@ -70,6 +70,7 @@
 		Self:                config.Self,
 		Incarnation:         uint64(started),
 		OfferInterval:       config.OfferInterval,
+		ExpectedHosts:       config.ExpectedHosts,
 		SourceRetryInterval: config.SourceRetryInterval,
 	}
 	return control.NewPlane(settings, snapshots, newRandom(config, randomOfPlane))
