--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -54,6 +54,7 @@
 	return []Bench{
 		{"converge", "time from filing a ticket until it is in force on every node, control bytes and source reads", converge},
 		{"calls", "latency that nodes add to a call, calls a second, and chains of services", calls},
+		{"flood", "what each priority class keeps while one floods, against a plain queue", flood},
 	}
 }
 
--- a/internal/bench/latency.go
+++ b/internal/bench/latency.go
@@ -38,3 +38,17 @@
 	defer l.mu.Unlock()
 	return len(l.values)
 }
+
+// within returns the share of all durations that do not exceed a bound; 0 when
+// there are none.
+func (l *latencies) within(bound time.Duration) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	met := 0
+	for _, value := range l.values {
+		if value <= float64(bound)/float64(time.Millisecond) {
+			met++
+		}
+	}
+	return float64(met) / float64(max(1, len(l.values)))
+}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -25,6 +25,12 @@
 	return Result{Name: name, Value: value, Unit: unit, Target: fmt.Sprintf("<= %g", bound), Met: &met}
 }
 
+// atLeast returns a result whose value must not be under a bound.
+func atLeast(name string, value, bound float64, unit string) Result {
+	met := value >= bound
+	return Result{Name: name, Value: value, Unit: unit, Target: fmt.Sprintf(">= %g", bound), Met: &met}
+}
+
 // plain returns a result without a target.
 func plain(name string, value float64, unit string) Result {
 	return Result{Name: name, Value: value, Unit: unit}
