Let only nodes with keys of their host and zone into the fleet

Sessions between nodes were plaintext, and a peer was who it said it was. They now use TLS 1.3 with certificates of both sides, which name the host and its availability zone in a URI such as wasabiport://north/north-1; the hello has to match it. Keys come from files, are looked at every 30 s and replaced without ending sessions; a bad file leaves the earlier keys in force, and a certificate that expires within a week is logged daily. `wasabiport keys` makes a test authority and host keys.

--- a/cmd/wasabiport/node.go
+++ b/cmd/wasabiport/node.go
@@ -78,6 +78,10 @@
 func nodeConfig(loaded settings.Node, logger logr.Logger) wasabiport.Config {
 	config := wasabiport.DefaultConfig()
 	config.Logger = logger
+	config.Plaintext = loaded.Plaintext
+	config.CertificateFile = loaded.CertificateFile
+	config.KeyFile = loaded.KeyFile
+	config.AuthorityFile = loaded.AuthorityFile
 	config.Self = state.Host{
 		Name:        state.HostName(loaded.Host),
 		Zone:        state.AvailabilityZone(loaded.Zone),
--- a/cmd/wasabiport/root.go
+++ b/cmd/wasabiport/root.go
@@ -71,6 +71,7 @@
 		newTicketCommand(),
 		newDemoCommand(),
 		newBenchCommand(),
+		newKeysCommand(),
 		newVersionCommand(),
 	)
 	return root
--- a/cmd/wasabiport/settings/node.go
+++ b/cmd/wasabiport/settings/node.go
@@ -38,6 +38,11 @@
 	MaxConnectionsPerAddress int           `flag:"max-connections-per-address" rule:"positive" usage:"connections of callers from one IP address; more helps callers behind one proxy, fewer keeps one address from taking all"`
 	StallTimeout             time.Duration `flag:"stall-timeout" rule:"positive" usage:"time that a caller may take to read a part of its answer; a shorter one frees slots sooner and cuts slower callers off"`
 
+	CertificateFile string `flag:"certificate-file" rule:"optional file" usage:"PEM file with the certificate of this host, which names it as wasabiport://ZONE/HOST"`
+	KeyFile         string `flag:"key-file" rule:"optional file" usage:"PEM file with the private key of the certificate"`
+	AuthorityFile   string `flag:"authority-file" rule:"optional file" usage:"PEM file with the certificates of the authorities that are trusted between nodes"`
+	Plaintext       bool   `flag:"plaintext" rule:"bool" usage:"true opens sessions between nodes without TLS: whoever reaches the peer address can pass for a node"`
+
 	LogFormat events.Format `flag:"log-format" rule:"format" usage:"form of log lines: text or json"`
 	LogLevel  events.Level  `flag:"log-level" rule:"level" usage:"least important level that is logged: error, info or debug"`
 }
--- a/cmd/wasabiport/settings/rule.go
+++ b/cmd/wasabiport/settings/rule.go
@@ -54,6 +54,8 @@
 		}
 		return ""
 	},
+	// parse has checked the value.
+	"bool": func(any) string { return "" },
 	"file": func(value any) string {
 		file, err := os.Open(value.(string))
 		if err != nil {
--- a/config.go
+++ b/config.go
@@ -73,6 +73,15 @@
 	Network network.Network
 	// HTTPClient reads the platform. Default http.DefaultClient.
 	HTTPClient *http.Client
+	// CertificateFile, KeyFile and AuthorityFile are PEM files for TLS
+	// between nodes: the node's certificate, its key and the trusted
+	// authorities. No default, unless Plaintext is set.
+	CertificateFile string
+	KeyFile         string
+	AuthorityFile   string
+	// Plaintext opens sessions between nodes without TLS: anyone who reaches
+	// the peer address can then pass for a node. Default false.
+	Plaintext bool
 	// Logger takes the events of the node. Default none.
 	Logger logr.Logger
 }
--- a/docs/metrics_test.go
+++ b/docs/metrics_test.go
@@ -41,6 +41,7 @@
 // created on an in-memory network.
 func descriptions(t *testing.T) []string {
 	config := wasabiport.DefaultConfig()
+	config.Plaintext = true
 	config.Self = state.Host{Name: "h", Zone: "z", Region: "r", PeerAddress: "192.0.2.1:1"}
 	config.CallerAddress = "192.0.2.1:2"
 	config.OperatorAddress = "192.0.2.1:3"
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -76,6 +76,7 @@
 
 func (f *fleet) startNode(i int) *wasabiport.Node {
 	config := wasabiport.DefaultConfig()
+	config.Plaintext = true
 	config.Self = hostOf(i)
 	config.CallerAddress = callerAddress(i)
 	config.OperatorAddress = operatorAddress(i)
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -85,6 +85,7 @@
 // start starts the node of a host.
 func (f *fleet) start(ctx context.Context, m *member) error {
 	config := wasabiport.DefaultConfig()
+	config.Plaintext = true
 	config.Self = m.host
 	config.CallerAddress = fmt.Sprintf("%s:%d", hostIP(m.index), callerPort)
 	config.OperatorAddress = fmt.Sprintf("%s:%d", hostIP(m.index), operatorPort)
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -127,6 +127,7 @@
 
 func (f *fleet) startNode(ctx context.Context, host state.Host) error {
 	config := wasabiport.DefaultConfig()
+	config.Plaintext = true
 	config.Self = host
 	config.CallerAddress = loopback
 	config.OperatorAddress = loopback
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -174,6 +174,7 @@
 	endpoint := endpointOf(i)
 	f.Network.Rejoin(endpoint)
 	config := wasabiport.DefaultConfig()
+	config.Plaintext = true
 	config.Self = hostOf(i)
 	config.CallerAddress = callerAddress(i)
 	config.OperatorAddress = operatorAddress(i)
--- a/node.go
+++ b/node.go
@@ -22,6 +22,7 @@
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/guard"
 	"github.com/wasabiport/wasabiport/transport/peering"
+	"github.com/wasabiport/wasabiport/transport/tlsidentity"
 )
 
 // ErrNotReady means that the node does not answer callers yet.
@@ -44,6 +45,8 @@
 	guard     *guard.Guard
 	loop      *controlloop.Loop
 	pool      *peering.Pool
+	keyFiles  *tlsidentity.Files
+	stopKeys  context.CancelFunc
 	registry  *prometheus.Registry
 	entry     *entry.Handler
 	callers   *http.Server
@@ -96,6 +99,11 @@
 	n.threads.Go(func() { _ = n.callers.Serve(callers) })
 	n.threads.Go(func() { _ = n.operators.Serve(n.listeners.operators) })
 	n.threads.Go(n.guard.Watch)
+	var ctx context.Context
+	ctx, n.stopKeys = context.WithCancel(context.Background())
+	if n.keyFiles != nil {
+		n.threads.Go(func() { n.keyFiles.Watch(ctx) })
+	}
 	n.loop.Start(n.pool)
 }
 
@@ -174,6 +182,7 @@
 	n.loop.Shutdown()
 	n.guard.Shutdown()
 	n.pool.Shutdown()
+	n.stopKeys()
 	n.threads.Wait()
 }
 
--- a/providers_peers.go
+++ b/providers_peers.go
@@ -1,11 +1,14 @@
 package wasabiport
 
 import (
+	"github.com/cockroachdb/errors"
+
 	"github.com/wasabiport/wasabiport/coordination/handshake"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/guard"
 	"github.com/wasabiport/wasabiport/transport/network"
 	"github.com/wasabiport/wasabiport/transport/peering"
+	"github.com/wasabiport/wasabiport/transport/tlsidentity"
 )
 
 func newPeeringConfig(config Config, started incarnation) peering.Config {
@@ -19,7 +22,35 @@
 	return settings
 }
 
-func newSecurity(Config) peering.Security { return peering.Plaintext{} }
+// peerSecurity is the security of sessions, and the key files that it comes
+// from; nil for plaintext.
+type peerSecurity struct {
+	peering.Security
+	files *tlsidentity.Files
+}
+
+// ErrNoKeys means that neither keys nor plaintext were asked for.
+var ErrNoKeys = errors.New("no keys for sessions between nodes, and plaintext is not asked for")
+
+func newPeerSecurity(config Config) (peerSecurity, error) {
+	if config.Plaintext {
+		return peerSecurity{Security: peering.Plaintext{}}, nil
+	}
+	if config.CertificateFile == "" {
+		return peerSecurity{}, ErrNoKeys
+	}
+	keys := tlsidentity.Config{
+		CertificateFile: config.CertificateFile,
+		KeyFile:         config.KeyFile,
+		AuthorityFile:   config.AuthorityFile,
+		Logger:          config.Logger,
+	}
+	files, err := tlsidentity.Load(keys, config.Self)
+	if err != nil {
+		return peerSecurity{}, errors.Wrap(err, "load the keys")
+	}
+	return peerSecurity{Security: tlsidentity.NewSecurity(files), files: files}, nil
+}
 
 func newHandshakeLimiter(config Config) *handshake.Limiter {
 	return handshake.NewLimiter(handshake.DefaultConfig(), newRandom(config, randomOfLimiter))
--- a/transport/events/catalogue.go
+++ b/transport/events/catalogue.go
@@ -29,5 +29,6 @@
 		RequestQuarantined{},
 		KeysReloaded{},
 		KeysRejected{},
+		KeysExpire{},
 	}
 }
--- a/transport/events/peer.go
+++ b/transport/events/peer.go
@@ -82,3 +82,13 @@
 func (HandshakeFailed) Kind() Kind {
 	return Kind{407, LevelInfo, "handshake-failed", "A handshake with a node led to no session: keys, names or the protocol did not match, or it took too long."}
 }
+
+// KeysExpire is logged when the certificate of the node is about to expire.
+type KeysExpire struct {
+	NotAfter time.Time `event:"not_after"`
+}
+
+// Kind returns the description of the event.
+func (KeysExpire) Kind() Kind {
+	return Kind{603, LevelError, "keys-expire", "The certificate of the node is valid until the given time only. From then on no new session opens."}
+}
--- a/wire.go
+++ b/wire.go
@@ -19,7 +19,8 @@
 
 var peerProviders = wire.NewSet(
 	newNetwork,
-	newSecurity,
+	newPeerSecurity,
+	wire.Bind(new(peering.Security), new(peerSecurity)),
 	newHandshakeLimiter,
 	newPeeringConfig,
 	newPeerHandler,
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -34,7 +34,10 @@
 	loop := controlloop.New(plane, client, logger)
 	peeringConfig := newPeeringConfig(config, wasabiportIncarnation)
 	network := newNetwork(config)
-	security := newSecurity(config)
+	wasabiportPeerSecurity, err := newPeerSecurity(config)
+	if err != nil {
+		return nil, err
+	}
 	wasabiportPeerHandler := newPeerHandler(loop, guard)
 	limiter := newHandshakeLimiter(config)
 	registry, err := newRegistry()
@@ -45,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pool := peering.NewPool(peeringConfig, network, security, wasabiportPeerHandler, limiter, metrics)
+	pool := peering.NewPool(peeringConfig, network, wasabiportPeerSecurity, wasabiportPeerHandler, limiter, metrics)
 	picker := newPicker(config, plane)
 	entryDecisions := newDecisions(config, picker)
 	calls, err := newCallMetrics(registry, guard)
@@ -54,7 +57,7 @@
 	}
 	handler := newEntry(config, entryDecisions, snapshotStore, plane, plane, pool, guard, calls)
 	server := newCallerServer(config, handler)
-	node, err := newNode(config, snapshotStore, plane, guard, loop, pool, handler, server, registry)
+	node, err := newNode(config, snapshotStore, plane, guard, loop, pool, wasabiportPeerSecurity, handler, server, registry)
 	if err != nil {
 		return nil, err
 	}
@@ -65,8 +68,7 @@
 
 var peerProviders = wire.NewSet(
 	newNetwork,
-	newSecurity,
-	newHandshakeLimiter,
+	newPeerSecurity, wire.Bind(new(peering.Security), new(peerSecurity)), newHandshakeLimiter,
 	newPeeringConfig,
 	newPeerHandler, peering.NewMetrics, peering.NewPool, wire.Bind(new(peering.Handler), new(peerHandler)),
 )
