Tell the zone's guards of requests that crash backend servers

Cause: a request that crashed its backend server was sent on to the next one: three sends crashed nine backend servers, since no retry said that it was a suspect and no guard heard of the crashes of others. Change: a retry carries that its call is a suspect; a guard tells the zone at a crash; nodes pass on along their control sessions what is news, and bring a newly connected guard up to date. Learn returns what was news.

--- a/coordination/control/config.go
+++ b/coordination/control/config.go
@@ -17,6 +17,9 @@
 	Self state.Host
 	// Incarnation is the start time of the node in nanoseconds since 1970.
 	Incarnation uint64
+	// Suspects learns which requests crash backend servers. Nil means that
+	// notices of them are neither kept nor passed on. Default nil.
+	Suspects SuspectRequests
 	// HeartbeatInterval is the time between two offers to each connected
 	// peer. A shorter one finds failures and missed pushes sooner and costs
 	// more control bytes. Default 1 s.
--- /dev/null
+++ b/coordination/control/crashnotices.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/quarantine"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// SuspectRequests is what the guard knows of requests that crash backend
+// servers.
+type SuspectRequests interface {
+	// Learn takes over notices and returns those that were news.
+	Learn(now time.Time, notices []quarantine.Notice) []quarantine.Notice
+	// Notices returns what a guard that has just come up has to know.
+	Notices(now time.Time) []quarantine.Notice
+}
+
+// Crashed tells the other guards of the own availability zone of requests that
+// were in flight at a crash.
+func (p *Plane) Crashed(notices []quarantine.Notice) Output {
+	var output Output
+	p.spreadInZone(&output, CrashNotices{Notices: notices}, "")
+	return output
+}
+
+// takeCrashNotices passes on what is news, so that each notice crosses each
+// session of the availability zone once at most in each direction.
+func (p *Plane) takeCrashNotices(now time.Time, output *Output, from state.HostName, message CrashNotices) {
+	if p.config.Suspects == nil || !p.inOwnZone(from) {
+		return
+	}
+	if news := p.config.Suspects.Learn(now, message.Notices); len(news) > 0 {
+		p.spreadInZone(output, CrashNotices{Notices: news}, from)
+	}
+}
+
+// tellCrashNotices brings a newly connected guard up to date.
+func (p *Plane) tellCrashNotices(now time.Time, output *Output, host state.HostName) {
+	if p.config.Suspects == nil || !p.inOwnZone(host) {
+		return
+	}
+	if notices := p.config.Suspects.Notices(now); len(notices) > 0 {
+		output.send(host, CrashNotices{Notices: notices})
+	}
+}
+
+func (p *Plane) spreadInZone(output *Output, message Message, except state.HostName) {
+	for _, name := range p.peers.names() {
+		if name != except && p.inOwnZone(name) {
+			output.send(name, message)
+		}
+	}
+}
+
+func (p *Plane) inOwnZone(name state.HostName) bool {
+	host, ok := p.members.Host(name)
+	return ok && host.Zone == p.config.Self.Zone
+}
--- a/coordination/control/message.go
+++ b/coordination/control/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/wasabiport/wasabiport/coordination/fleetstatus"
 	"github.com/wasabiport/wasabiport/coordination/membership"
+	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -90,10 +91,17 @@
 	Zones []fleetstatus.ZoneReport
 }
 
+// CrashNotices tells the guards of an availability zone of requests that may
+// crash backend servers.
+type CrashNotices struct {
+	Notices []quarantine.Notice
+}
+
 func (Offer) message()           {}
 func (Tickets) message()         {}
 func (Request) message()         {}
 func (Snapshot) message()        {}
+func (CrashNotices) message()    {}
 func (Sightings) message()       {}
 func (HostList) message()        {}
 func (HostListRequest) message() {}
--- a/coordination/control/plane.go
+++ b/coordination/control/plane.go
@@ -86,6 +86,8 @@
 		p.takeSubtreeStatus(now, from, message)
 	case FleetStatus:
 		p.takeFleetStatus(now, message)
+	case CrashNotices:
+		p.takeCrashNotices(now, &output, from, message)
 	}
 	return output
 }
@@ -95,6 +97,7 @@
 	p.peers.connected(now, host)
 	var output Output
 	output.send(host, p.offer(now))
+	p.tellCrashNotices(now, &output, host)
 	return output
 }
 
--- a/coordination/quarantine/notice.go
+++ b/coordination/quarantine/notice.go
@@ -35,15 +35,22 @@
 	return all[:min(len(all), maxNotices)]
 }
 
-// Learn takes over notices of another guard. A request that was cleared here
+// Learn takes over notices of another guard and returns those that were news,
+// which have to be passed on. A request that was cleared here
 // does not become a suspect by a notice, and no notice makes a phase shorter
 // or longer than the settings say.
-func (s *Suspects) Learn(now time.Time, notices []Notice) {
+func (s *Suspects) Learn(now time.Time, notices []Notice) []Notice {
+	var news []Notice
 	for _, notice := range notices[:min(len(notices), maxNotices)] {
 		s.known.Update(now, notice.Fingerprint, func(held suspicion, present bool) state.Change[suspicion] {
-			return s.learn(now, held, present, notice)
+			change := s.learn(now, held, present, notice)
+			if change.Kind == state.ChangePut {
+				news = append(news, notice)
+			}
+			return change
 		})
 	}
+	return news
 }
 
 func (s *Suspects) learn(now time.Time, held suspicion, present bool, notice Notice) state.Change[suspicion] {
--- a/internal/faults/session_test.go
+++ b/internal/faults/session_test.go
@@ -18,6 +18,10 @@
 // sessionVariable names the session that a process of the test binary writes.
 const sessionVariable = "WASABIPORT_SESSION"
 
+// keysSettle is longer than the time for which a guard that has just come up
+// refuses keyed calls, because another guard may hold their record.
+const keysSettle = 30 * time.Second
+
 // oldKey carries a time before the virtual clock starts.
 const oldKey = "00dc6acf-ac00-7000-8000-000000000001"
 
@@ -33,6 +37,7 @@
 		{"crossed updates", playCrossedUpdates},
 		{"guard refuses", playRefusals},
 		{"drain", playDrain},
+		{"quarantine", playQuarantine},
 	}
 }
 
@@ -91,6 +96,7 @@
 	hurried := faults.Status
 	hurried.Timeout = 5 * time.Millisecond
 	s.Send(hurried, 0, "")
+	s.Wait(keysSettle)
 	key := faults.NewKey()
 	s.Send(faults.Notice, 0, key)
 	s.Send(faults.Notice, 3, key)
@@ -114,6 +120,25 @@
 	return nil
 }
 
+func playQuarantine(s *faults.Session, _ *faults.Fleet) error {
+	crashing := faults.Status
+	crashing.Crashes = true
+	for range 3 {
+		s.Send(crashing, 0, "")
+		s.Wait(2 * time.Second)
+	}
+	s.Crashes()
+	s.Send(faults.Status, 0, "")
+	s.Wait(keysSettle)
+	notice := faults.Notice
+	notice.Crashes = true
+	key := faults.NewKey()
+	s.Send(notice, 0, key)
+	s.Send(notice, 3, key)
+	s.Runs(key)
+	return nil
+}
+
 // TestSessions compares whole sessions with their golden files. Like the cells
 // of the matrix, each runs in a process of its own.
 func TestSessions(t *testing.T) {
--- a/protocol/peerwire/message.go
+++ b/protocol/peerwire/message.go
@@ -42,6 +42,9 @@
 	case control.FleetStatus:
 		status := encodeFleetStatus(message)
 		return &wirepb.PeerMessage{Body: &wirepb.PeerMessage_FleetStatus{FleetStatus: status}}, nil
+	case control.CrashNotices:
+		notices := encodeCrashNotices(message)
+		return &wirepb.PeerMessage{Body: &wirepb.PeerMessage_CrashNotices{CrashNotices: notices}}, nil
 	default:
 		return nil, malformed("message type %T has no wire form", message)
 	}
@@ -71,6 +74,8 @@
 		return control.SubtreeStatus{Counts: decodeHeadCounts(body.SubtreeStatus.GetCounts())}, nil
 	case *wirepb.PeerMessage_FleetStatus:
 		return decodeFleetStatus(body.FleetStatus), nil
+	case *wirepb.PeerMessage_CrashNotices:
+		return decodeCrashNotices(body.CrashNotices)
 	default:
 		return nil, malformed("message has no known body")
 	}
--- a/providers.go
+++ b/providers.go
@@ -65,8 +65,14 @@
 	randomOfLimiter
 )
 
-func newPlane(config Config, started incarnation, snapshots *state.SnapshotStore) *control.Plane {
+func newPlane(
+	config Config,
+	started incarnation,
+	snapshots *state.SnapshotStore,
+	decisions guard.Decisions,
+) *control.Plane {
 	settings := control.Config{
+		Suspects:            decisions.Suspects,
 		Self:                config.Self,
 		Incarnation:         uint64(started),
 		OfferInterval:       config.OfferInterval,
@@ -104,9 +110,10 @@
 	config Config,
 	snapshots *state.SnapshotStore,
 	decisions guard.Decisions,
+	zone guard.Zone,
 	logger logr.Logger,
 ) *guard.Guard {
-	return guard.New(config.Self.Name, snapshots, decisions, config.Network, logger)
+	return guard.New(config.Self.Name, snapshots, decisions, zone, config.Network, logger)
 }
 
 func newCallMetrics(registry *prometheus.Registry, guard *guard.Guard) (*metrics.Calls, error) {
--- a/transport/controlloop/loop.go
+++ b/transport/controlloop/loop.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -87,6 +88,10 @@
 // Leave announces to the peers that this node takes no more work.
 func (l *Loop) Leave() { l.carryOut(l.plane.Leave(time.Now())) }
 
+// TellZone tells the other guards of the availability zone of requests that
+// may crash backend servers.
+func (l *Loop) TellZone(notices []quarantine.Notice) { l.carryOut(l.plane.Crashed(notices)) }
+
 // Shutdown ends the threads and waits for them.
 func (l *Loop) Shutdown() {
 	l.cancel()
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -51,6 +51,7 @@
 				return nil, h.lastAnswer(head, answer.Refusal)
 			}
 		}
+		head.Suspect = decision.Suspect
 		last = h.lastAnswer(head, answer.Refusal)
 		h.observer.Retried()
 	}
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -24,6 +24,7 @@
 	transport *http.Transport
 	suspects  *quarantine.Suspects
 	inFlight  *inFlight
+	zone      Zone
 	logger    logr.Logger
 }
 
@@ -133,6 +134,7 @@
 		transport: g.newTransport(server),
 		suspects:  g.decisions.Suspects,
 		inFlight:  newInFlight(),
+		zone:      g.zone,
 		logger:    g.logger,
 	}
 }
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -28,6 +28,7 @@
 	network   network.Network
 	snapshots *state.SnapshotStore
 	decisions Decisions
+	zone      Zone
 	logger    logr.Logger
 	gates     *state.ShardedMap[state.BackendServerName, *gate]
 	leaving   atomic.Bool
@@ -39,6 +40,13 @@
 	cancel context.CancelFunc
 }
 
+// Zone reaches the other guards of the availability zone.
+type Zone interface {
+	// TellZone tells them of requests that may crash backend servers. It
+	// does not block.
+	TellZone(notices []quarantine.Notice)
+}
+
 // Decisions are the parts that decide on calls beside the admission.
 type Decisions struct {
 	Records  *callrecord.Records
@@ -52,6 +60,7 @@
 	host state.HostName,
 	snapshots *state.SnapshotStore,
 	decisions Decisions,
+	zone Zone,
 	network network.Network,
 	logger logr.Logger,
 ) *Guard {
@@ -61,6 +70,7 @@
 		network:   network,
 		snapshots: snapshots,
 		decisions: decisions,
+		zone:      zone,
 		logger:    logger,
 		gates:     state.NewShardedMap[state.BackendServerName, *gate](state.DefaultShardCount),
 		left:      make(chan struct{}),
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -28,6 +28,11 @@
 const backendAddress = "192.0.2.7:8080"
 
 // rig is a guard with the one backend server "desk-0".
+// noZone is an availability zone without other guards.
+type noZone struct{}
+
+func (noZone) TellZone([]quarantine.Notice) {}
+
 type rig struct {
 	t       *testing.T
 	network *network.Memory
@@ -50,7 +55,7 @@
 		Suspects: quarantine.NewSuspects(quarantine.Config{}),
 		Owners:   keyowner.NewHistory(time.Hour),
 	}
-	return &rig{t: t, network: memory, guard: guard.New("host-0", snapshots, decisions, memory, logr.Discard())}
+	return &rig{t: t, network: memory, guard: guard.New("host-0", snapshots, decisions, noZone{}, memory, logr.Discard())}
 }
 
 // serve answers each connection to the backend server with handle.
--- a/transport/guard/suspects.go
+++ b/transport/guard/suspects.go
@@ -13,6 +13,9 @@
 // request asks for a slot, for a suspect one that it has alone.
 func (g *gate) request(head call.Head) (pass *admission.Pass, alone bool, refusal *state.Refusal) {
 	now := time.Now()
+	if head.Suspect {
+		g.suspects.Suspect(now, head.Fingerprint)
+	}
 	alone, refusal = g.suspects.Check(now, head.Fingerprint)
 	switch {
 	case refusal != nil:
@@ -41,6 +44,7 @@
 	}
 	notices := g.suspects.Crashed(time.Now(), fingerprints)
 	events.Log(g.logger, events.BackendServerCrashed{BackendServer: g.server.Name, Suspects: len(fingerprints)})
+	g.zone.TellZone(notices)
 	for _, notice := range notices {
 		if notice.Phase == quarantine.PhaseQuarantined {
 			events.Log(g.logger, events.RequestQuarantined{Fingerprint: notice.Fingerprint})
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -26,12 +26,12 @@
 func assemble(config Config) (*Node, error) {
 	snapshotStore := newSnapshotStore()
 	wasabiportIncarnation := newIncarnation()
-	plane := newPlane(config, wasabiportIncarnation, snapshotStore)
 	decisions := newGuardDecisions(wasabiportIncarnation)
-	logger := newLogger(config)
-	guard := newGuard(config, snapshotStore, decisions, logger)
+	plane := newPlane(config, wasabiportIncarnation, snapshotStore, decisions)
 	client := newSource(config)
+	logger := newLogger(config)
 	loop := controlloop.New(plane, client, logger)
+	guard := newGuard(config, snapshotStore, decisions, loop, logger)
 	peeringConfig := newPeeringConfig(config, wasabiportIncarnation)
 	network := newNetwork(config)
 	wasabiportPeerSecurity, err := newPeerSecurity(config)
@@ -87,5 +87,5 @@
 	newDecisions,
 	newEntry,
 	newCallerServer,
-	newNode, controlloop.New, wire.Bind(new(controlloop.Source), new(*platform.Client)), wire.Bind(new(picking.HostPhases), new(*control.Plane)), wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(entry.Observer), new(*metrics.Calls)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
+	newNode, controlloop.New, wire.Bind(new(controlloop.Source), new(*platform.Client)), wire.Bind(new(picking.HostPhases), new(*control.Plane)), wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(guard.Zone), new(*controlloop.Loop)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(entry.Observer), new(*metrics.Calls)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
 )
