--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -53,6 +53,8 @@
 func All() []Bench {
 	return []Bench{
 		{"converge", "time from filing a ticket until it is in force on every node, control bytes and source reads", converge},
+		{"herd", "time until all serve after half, then all nodes restart at once, and the reads that it takes", herd},
+		{"capacity", "processor time, bytes and memory of a node against fleet size, services, tickets and calls", capacity},
 		{"calls", "latency that nodes add to a call, calls a second, and chains of services", calls},
 		{"flood", "what each priority class keeps while one floods, against a plain queue", flood},
 	}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -11,6 +11,13 @@
 	unitCallsPerSecond = "calls/s"
 	unitPercent        = "%"
 	unitCount          = "count"
+	unitMebibytes      = "MiB"
+	unitBytes          = "B"
+	unitSeconds        = "s"
+	unitCores          = "cores"
+	unitShare          = "share"
+	// unitAsMeasured is the unit of the figure, or that a unit of the sweep.
+	unitAsMeasured = "as measured"
 )
 
 // below returns a result whose value has to be under a bound.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -133,6 +133,9 @@
 // largest number in one second.
 func (p *Platform) Reads() (total, peakPerSecond int) { return p.reads.figures() }
 
+// ResetPeak starts the search for the busiest second anew.
+func (p *Platform) ResetPeak() { p.reads.resetPeak() }
+
 // ServeHTTP answers reads.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !p.reads.take(time.Now()) {
--- a/internal/standin/readcounter.go
+++ b/internal/standin/readcounter.go
@@ -40,6 +40,14 @@
 	c.peak = max(c.peak, c.inSecond)
 }
 
+// resetPeak starts the search for the busiest second anew.
+func (c *readCounter) resetPeak() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peak = 0
+	c.inSecond = 0
+}
+
 func (c *readCounter) figures() (total, peak int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
