--- a/internal/faults/cell.go
+++ b/internal/faults/cell.go
@@ -9,8 +9,9 @@
 
 // Times of one run, all virtual.
 const (
-	// warmUp lets the fleet find itself and serve.
-	warmUp = 5 * time.Second
+	// warmUp lets the fleet find itself and serve. It is longer than the time
+	// for which a guard that has just come up refuses keyed calls.
+	warmUp = 30 * time.Second
 	// hold is how long a fault lasts.
 	hold = 4 * time.Second
 	// settle is longer than the time in which a ticket is in force.
