--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -161,7 +161,7 @@
 	head := newHead(time.Now(), ended.ID, snapshot.Accepted(), route, r)
 	ended.Route, ended.Class, ended.Caller = head.Route, head.Class, head.Caller
 	if refusal := h.decisions.Limits.Begin(time.Now(), head.Caller, route); refusal != nil {
-		return refusal
+		return retry.Unasked(head, refusal)
 	}
 	defer h.decisions.Limits.End(head.Caller)
 
