--- a/internal/bench/calls.go
+++ b/internal/bench/calls.go
@@ -27,26 +27,11 @@
 // calls measures what two nodes add to a call: the caller's and the backend
 // server's.
 func calls(ctx context.Context, options Options) ([]Result, error) {
-	f, err := startFleet(ctx, options.Seed, callHosts, callHosts)
+	c, err := startCallBench(ctx, options.Seed)
 	if err != nil {
 		return nil, err
 	}
-	defer f.stop()
-	for i := range callHosts {
-		backend, err := startBackend(ctx, i, callHosts, standin.BackendServerConfig{})
-		if err != nil {
-			return nil, err
-		}
-		defer backend.stop()
-	}
-	if err := f.source.file(wideTicket(callHosts, callHosts, callSlots)); err != nil {
-		return nil, err
-	}
-	if err := f.await(ctx, 2); err != nil {
-		return nil, err
-	}
-	c := &callBench{seed: options.Seed}
-	c.warmUp(ctx)
+	defer c.stop()
 	capacity, results := c.capacity(ctx)
 	for _, share := range []float64{0.1, 0.25, 0.5, 0.75} {
 		results = append(results, c.added(ctx, share, capacity)...)
@@ -56,11 +41,50 @@
 	return results, nil
 }
 
+// callBench is two nodes with a backend server each.
 type callBench struct {
 	seed     uint64
+	fleet    *fleet
+	backends []*backend
 	failures int64
 }
 
+func startCallBench(ctx context.Context, seed uint64) (*callBench, error) {
+	f, err := startFleet(ctx, seed, callHosts, callHosts)
+	if err != nil {
+		return nil, err
+	}
+	c := &callBench{seed: seed, fleet: f}
+	if err := c.startBackends(ctx); err != nil {
+		c.stop()
+		return nil, err
+	}
+	c.warmUp(ctx)
+	return c, nil
+}
+
+// startBackends starts the backend servers and gives them many slots.
+func (c *callBench) startBackends(ctx context.Context) error {
+	for i := range callHosts {
+		backend, err := startBackend(ctx, i, callHosts, standin.BackendServerConfig{})
+		if err != nil {
+			return err
+		}
+		c.backends = append(c.backends, backend)
+	}
+	if err := c.fleet.source.file(wideTicket(callHosts, callHosts, callSlots)); err != nil {
+		return err
+	}
+	return c.fleet.await(ctx, 2)
+}
+
+func (c *callBench) stop() {
+	for _, backend := range c.backends {
+		backend.stop()
+	}
+	c.fleet.stop()
+}
+
 // through returns a load of calls from the node of host 0 to that of host 1.
 func (c *callBench) through(callers int) *load {
 	return &load{client: newLoadClient(), callers: callers, url: callURL(0, 1), seed: c.seed}
--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -8,7 +8,6 @@
 
 	"gonum.org/v1/gonum/stat"
 
-	"github.com/wasabiport/wasabiport/internal/standin"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -200,26 +199,11 @@
 // sweepCallRate measures the processor time of a call, callers and backend
 // server included.
 func sweepCallRate(ctx context.Context, options Options) ([]Result, error) {
-	f, err := startFleet(ctx, options.Seed, callHosts, callHosts)
+	c, err := startCallBench(ctx, options.Seed)
 	if err != nil {
 		return nil, err
 	}
-	defer f.stop()
-	for i := range callHosts {
-		backend, err := startBackend(ctx, i, callHosts, standin.BackendServerConfig{})
-		if err != nil {
-			return nil, err
-		}
-		defer backend.stop()
-	}
-	if err := f.source.file(wideTicket(callHosts, callHosts, callSlots)); err != nil {
-		return nil, err
-	}
-	if err := f.await(ctx, 2); err != nil {
-		return nil, err
-	}
-	c := &callBench{seed: options.Seed}
-	c.warmUp(ctx)
+	defer c.stop()
 	through, direct := c.through(callCallers), c.direct(callCallers)
 	defer c.end(through)
 	defer c.end(direct)
