--- a/internal/faults/fault.go
+++ b/internal/faults/fault.go
@@ -164,7 +164,10 @@
 	}
 }
 
+// flood sends many small calls of a kind; large bodies would only slow the run.
 func flood(name string, kind Kind) Fault {
+	kind.BodyBytes = 0
+	kind.ChunkInterval = 0
 	return Fault{
 		Name: name,
 		Begin: func(ctx context.Context, f *Fleet) error {
