Lock the history of a run while it is checked

Cause: under the race detector 10 cells reported that a backend server's thread noted a run while the checker read; nothing ordered the two. Change: Check holds the lock of the history.

--- a/internal/faults/checker.go
+++ b/internal/faults/checker.go
@@ -57,8 +57,11 @@
 // String describes the violation in one line.
 func (v Violation) String() string { return fmt.Sprintf("%s: %s", v.Promise, v.Detail) }
 
-// Check returns every broken promise in a history.
+// Check returns every broken promise in a history. A backend server may still
+// note a run, so the history is locked meanwhile.
 func Check(h *History) []Violation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	checker := &checker{history: h}
 	checker.checkNeverBack()
 	checker.checkConfigurations()
