Start no thread of the session pool once it shuts down

Cause: the race detector found, in one cell of the fault matrix, a call that opened a session while the node shut down: a WaitGroup was added to while another thread waited for it. Change: threadGroup refuses threads once it is closed; a dial then ends with ErrNotConnected and an accepted connection is closed.

--- a/transport/peering/accept.go
+++ b/transport/peering/accept.go
@@ -27,7 +27,7 @@
 			_ = conn.Close()
 			continue
 		}
-		p.threads.Go(func() {
+		running := p.threads.Go(func() {
 			err := p.acceptSession(conn)
 			p.endHandshake(address)
 			if err != nil {
@@ -35,6 +35,10 @@
 				p.noteHandshake("", address, err)
 			}
 		})
+		if !running {
+			p.endHandshake(address)
+			_ = conn.Close()
+		}
 	}
 }
 
--- a/transport/peering/dial.go
+++ b/transport/peering/dial.go
@@ -82,11 +82,18 @@
 		return running, true
 	})
 	if mine {
-		p.threads.Go(func() {
-			current.session, current.err = p.dial(host, lane)
+		dialed := func() {
 			p.dialing.Delete(key)
 			close(current.done)
+		}
+		running := p.threads.Go(func() {
+			defer dialed()
+			current.session, current.err = p.dial(host, lane)
 		})
+		if !running {
+			current.err = errors.Wrapf(ErrNotConnected, "reach %s from a node that shuts down", host.Name)
+			dialed()
+		}
 	}
 	select {
 	case <-current.done:
--- a/transport/peering/pool.go
+++ b/transport/peering/pool.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +50,7 @@
 
 	ctx     context.Context
 	cancel  context.CancelFunc
-	threads sync.WaitGroup
+	threads threadGroup
 }
 
 type sessionKey struct {
@@ -146,5 +145,5 @@
 // Shutdown closes all sessions and waits until all threads have ended.
 func (p *Pool) Shutdown() {
 	p.cancel()
-	p.threads.Wait()
+	p.threads.Close()
 }
