Let backend servers register themselves, and split routes by weight

Tickets so far listed every backend server, and a route had one service. A platform may publish backend servers apart from the configuration. Routes take splits by weight and a bound of attempts; a path prefix that ends with a slash no longer matches the path without it.

--- a/coordination/acceptance/change.go
+++ b/coordination/acceptance/change.go
@@ -42,21 +42,30 @@
 func checkSetRoutes(faults *faultList, after *state.Snapshot, routes []state.Route) {
 	for i, route := range routes {
 		path := element("set.routes", i) + ".service"
-		if _, ok := after.Service(route.Service); !ok {
-			faults.add(path, "route %s names service %s, which does not exist", quote(route.Name), quote(route.Service))
-			continue
-		}
-		if len(after.BackendServersOf(route.Service)) == 0 {
-			faults.add(path, "route %s names service %s, which has no backend servers", quote(route.Name), quote(route.Service))
+		for _, name := range route.Services() {
+			service, ok := after.Service(name)
+			if !ok {
+				faults.add(path, "route %s names service %s, which does not exist", quote(route.Name), quote(name))
+				continue
+			}
+			if !service.SelfRegistered && len(after.BackendServersOf(name)) == 0 {
+				faults.add(path, "route %s names service %s, which has no backend servers", quote(route.Name), quote(name))
+			}
 		}
 	}
 }
 
 func checkSetBackendServers(faults *faultList, after *state.Snapshot, servers []state.BackendServer) {
 	for i, server := range servers {
-		if _, ok := after.Service(server.Service); !ok {
-			faults.add(element("set.backend_servers", i)+".service",
-				"backend server %s names service %s, which does not exist", quote(server.Name), quote(server.Service))
+		service, ok := after.Service(server.Service)
+		path := element("set.backend_servers", i) + ".service"
+		switch {
+		case !ok:
+			faults.add(path, "backend server %s names service %s, which does not exist",
+				quote(server.Name), quote(server.Service))
+		case service.SelfRegistered:
+			faults.add(path, "backend server %s names service %s, whose backend servers register themselves",
+				quote(server.Name), quote(server.Service))
 		}
 	}
 }
@@ -88,9 +97,11 @@
 		return
 	}
 	for _, route := range after.Resources().Routes {
-		cause, ok := emptied[route.Service]
-		if ok && !setsRoute(ticket, route.Name) {
-			faults.add(cause.path, "service %s %s, but route %s uses it", quote(route.Service), cause.reason, quote(route.Name))
+		for _, service := range route.Services() {
+			cause, ok := emptied[service]
+			if ok && !setsRoute(ticket, route.Name) {
+				faults.add(cause.path, "service %s %s, but route %s uses it", quote(service), cause.reason, quote(route.Name))
+			}
 		}
 	}
 }
--- a/coordination/acceptance/resource.go
+++ b/coordination/acceptance/resource.go
@@ -19,6 +19,8 @@
 	MaxTimeout = time.Hour
 	// MaxWorth is the largest worth of a call.
 	MaxWorth = 1e9
+	// MaxWeight is the largest weight of a part of a split.
+	MaxWeight = 1e6
 	// MaxCallRate is the largest rate of a caller limit, in calls a second.
 	MaxCallRate = 1e6
 	// MaxQueueLimit is the largest number of calls in one queue.
@@ -44,7 +46,10 @@
 
 func checkRoute(faults *faultList, path string, route state.Route) {
 	checkName(faults, path+".name", "route", route.Name)
-	checkName(faults, path+".service", "service", route.Service)
+	checkSplit(faults, path, route)
+	if route.MaxAttempts < 0 {
+		faults.add(path+".max_attempts", "the number of attempts %d is negative", route.MaxAttempts)
+	}
 	checkMatch(faults, path+".match", route.Match)
 	if !route.Class.Valid() {
 		faults.add(path+".class", "priority class %d does not exist", route.Class)
@@ -58,6 +63,27 @@
 	checkCallerLimit(faults, path+".caller_limit", route.CallerLimit)
 }
 
+// checkSplit checks the services that a route names.
+func checkSplit(faults *faultList, path string, route state.Route) {
+	if len(route.Split) == 0 {
+		checkName(faults, path+".service", "service", route.Service)
+		return
+	}
+	if route.Service != "" {
+		faults.add(path+".service", "a route that is split among services names none besides")
+	}
+	sum := 0.0
+	for i, part := range route.Split {
+		place := element(path+".split", i)
+		checkName(faults, place+".service", "service", part.Service)
+		checkDecimal(faults, place+".weight", "weight", part.Weight, MaxWeight)
+		sum += part.Weight
+	}
+	if sum <= 0 {
+		faults.add(path+".split", "no part of the split has a weight")
+	}
+}
+
 func checkMatch(faults *faultList, path string, match state.Match) {
 	if match.Host != "" {
 		checkName(faults, path+".host", "host", match.Host)
--- a/coordination/membership/hostlist.go
+++ b/coordination/membership/hostlist.go
@@ -12,23 +12,17 @@
 	Digest state.Digest
 	Set    []state.Host
 	Remove []state.HostName
+	// SetRegistered and RemoveRegistered are the backend servers that have
+	// registered themselves anew or differently, and those that are gone.
+	SetRegistered    []state.BackendServer
+	RemoveRegistered []state.BackendServerName
 }
 
 // Diff returns the changes from old to next.
 func Diff(old, next state.HostList) Changes {
 	changes := Changes{Base: old.Version, Version: next.Version, Digest: next.Digest()}
-	before := hostsByName(old)
-	for _, host := range next.Hosts {
-		if known, ok := before[host.Name]; !ok || known != host {
-			changes.Set = append(changes.Set, host)
-		}
-		delete(before, host.Name)
-	}
-	for _, host := range old.Hosts {
-		if _, left := before[host.Name]; left {
-			changes.Remove = append(changes.Remove, host.Name)
-		}
-	}
+	changes.Set, changes.Remove = diff(old.Hosts, next.Hosts, hostName)
+	changes.SetRegistered, changes.RemoveRegistered = diff(old.Registered, next.Registered, serverName)
 	return changes
 }
 
@@ -38,27 +32,53 @@
 	if changes.Base > old.Version || changes.Version <= old.Version {
 		return state.HostList{}, false
 	}
-	replaced := make(map[state.HostName]struct{}, len(changes.Set)+len(changes.Remove))
-	for _, host := range changes.Set {
-		replaced[host.Name] = struct{}{}
+	next := state.HostList{
+		Version:    changes.Version,
+		Hosts:      apply(old.Hosts, changes.Set, changes.Remove, hostName),
+		Registered: apply(old.Registered, changes.SetRegistered, changes.RemoveRegistered, serverName),
 	}
-	for _, name := range changes.Remove {
-		replaced[name] = struct{}{}
+	return next, next.Digest() == changes.Digest
+}
+
+func hostName(host state.Host) state.HostName { return host.Name }
+
+func serverName(server state.BackendServer) state.BackendServerName { return server.Name }
+
+// diff returns the values of next that are new or changed, and the names of
+// those that are in old alone.
+func diff[N comparable, V comparable](old, next []V, name func(V) N) (set []V, remove []N) {
+	before := make(map[N]V, len(old))
+	for _, value := range old {
+		before[name(value)] = value
 	}
-	next := state.HostList{Version: changes.Version}
-	for _, host := range old.Hosts {
-		if _, drop := replaced[host.Name]; !drop {
-			next.Hosts = append(next.Hosts, host)
+	for _, value := range next {
+		if known, ok := before[name(value)]; !ok || known != value {
+			set = append(set, value)
 		}
+		delete(before, name(value))
 	}
-	next.Hosts = append(next.Hosts, changes.Set...)
-	return next, next.Digest() == changes.Digest
+	for _, value := range old {
+		if _, left := before[name(value)]; left {
+			remove = append(remove, name(value))
+		}
+	}
+	return set, remove
 }
 
-func hostsByName(list state.HostList) map[state.HostName]state.Host {
-	hosts := make(map[state.HostName]state.Host, len(list.Hosts))
-	for _, host := range list.Hosts {
-		hosts[host.Name] = host
+// apply returns the values of old after a diff.
+func apply[N comparable, V any](old, set []V, remove []N, name func(V) N) []V {
+	replaced := make(map[N]struct{}, len(set)+len(remove))
+	for _, value := range set {
+		replaced[name(value)] = struct{}{}
+	}
+	for _, gone := range remove {
+		replaced[gone] = struct{}{}
+	}
+	var next []V
+	for _, value := range old {
+		if _, drop := replaced[name(value)]; !drop {
+			next = append(next, value)
+		}
 	}
-	return hosts
+	return append(next, set...)
 }
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -29,9 +29,8 @@
 }
 
 func matchesPath(prefix, path string) bool {
-	trimmed := strings.TrimSuffix(prefix, "/")
-	rest, ok := strings.CutPrefix(path, trimmed)
-	return ok && (rest == "" || rest[0] == '/')
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
 }
 
 func matchesMethod(methods []string, method string) bool {
--- a/protocol/callwire/refusal.go
+++ b/protocol/callwire/refusal.go
@@ -17,6 +17,7 @@
 		RetryAfterNanos: int64(refusal.RetryAfter),
 		Id:              string(id),
 		Load:            encodeLoad(load),
+		Arrived:         refusal.Arrived,
 	}
 }
 
@@ -32,6 +33,7 @@
 		Outcome:    outcome,
 		Detail:     message.GetDetail(),
 		RetryAfter: time.Duration(message.GetRetryAfterNanos()),
+		Arrived:    message.GetArrived(),
 	}
 	return refusal, decodeLoad(message.GetLoad())
 }
--- a/protocol/peerwire/hosts.go
+++ b/protocol/peerwire/hosts.go
@@ -38,7 +38,11 @@
 }
 
 func encodeHostList(list control.HostList) *wirepb.HostList {
-	return &wirepb.HostList{Version: list.List.Version, Hosts: encodeHosts(list.List.Hosts)}
+	return &wirepb.HostList{
+		Version:    list.List.Version,
+		Hosts:      encodeHosts(list.List.Hosts),
+		Registered: encodeBackendServers(list.List.Registered),
+	}
 }
 
 func decodeHostList(message *wirepb.HostList) (control.Message, error) {
@@ -46,7 +50,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return control.HostList{List: state.HostList{Version: message.GetVersion(), Hosts: hosts}}, nil
+	return control.HostList{List: state.HostList{
+		Version:    message.GetVersion(),
+		Hosts:      hosts,
+		Registered: decodeBackendServers(message.GetRegistered()),
+	}}, nil
 }
 
 func encodeHostListChanges(message control.HostListChanges) *wirepb.HostListChanges {
@@ -57,6 +65,9 @@
 		Digest:  uint64(changes.Digest),
 		Set:     encodeHosts(changes.Set),
 		Remove:  toStrings(changes.Remove),
+
+		SetRegistered:    encodeBackendServers(changes.SetRegistered),
+		RemoveRegistered: toStrings(changes.RemoveRegistered),
 	}
 }
 
@@ -71,6 +82,9 @@
 		Digest:  state.Digest(message.GetDigest()),
 		Set:     set,
 		Remove:  fromStrings[state.HostName](message.GetRemove()),
+
+		SetRegistered:    decodeBackendServers(message.GetSetRegistered()),
+		RemoveRegistered: fromStrings[state.BackendServerName](message.GetRemoveRegistered()),
 	}}, nil
 }
 
--- a/protocol/peerwire/resources.go
+++ b/protocol/peerwire/resources.go
@@ -18,12 +18,26 @@
 	for _, service := range resources.Services {
 		message.Services = append(message.Services, encodeService(service))
 	}
-	for _, server := range resources.BackendServers {
-		message.BackendServers = append(message.BackendServers, encodeBackendServer(server))
-	}
+	message.BackendServers = encodeBackendServers(resources.BackendServers)
 	return message
 }
 
+func encodeBackendServers(servers []state.BackendServer) []*wirepb.BackendServer {
+	var messages []*wirepb.BackendServer
+	for _, server := range servers {
+		messages = append(messages, encodeBackendServer(server))
+	}
+	return messages
+}
+
+func decodeBackendServers(messages []*wirepb.BackendServer) []state.BackendServer {
+	var servers []state.BackendServer
+	for _, message := range messages {
+		servers = append(servers, decodeBackendServer(message))
+	}
+	return servers
+}
+
 func decodeResources(message *wirepb.Resources) (state.Resources, error) {
 	var resources state.Resources
 	for _, route := range message.GetRoutes() {
@@ -40,14 +54,12 @@
 		}
 		resources.Services = append(resources.Services, decoded)
 	}
-	for _, server := range message.GetBackendServers() {
-		resources.BackendServers = append(resources.BackendServers, decodeBackendServer(server))
-	}
+	resources.BackendServers = decodeBackendServers(message.GetBackendServers())
 	return resources, nil
 }
 
 func encodeRoute(route state.Route) *wirepb.Route {
-	return &wirepb.Route{
+	message := &wirepb.Route{
 		Name:                 string(route.Name),
 		Host:                 route.Match.Host,
 		PathPrefix:           route.Match.PathPrefix,
@@ -60,14 +72,19 @@
 		Idempotent:           route.Idempotent,
 		CallerCallsPerSecond: route.CallerLimit.CallsPerSecond,
 		CallerBurst:          uint32(route.CallerLimit.Burst),
+		MaxAttempts:          uint32(route.MaxAttempts),
+	}
+	for _, part := range route.Split {
+		message.Split = append(message.Split, &wirepb.SplitPart{Service: string(part.Service), Weight: part.Weight})
 	}
+	return message
 }
 
 func decodeRoute(message *wirepb.Route) (state.Route, error) {
 	if message.GetPriorityClass() >= state.ClassCount {
 		return state.Route{}, malformed("route %q has priority class %d", message.GetName(), message.GetPriorityClass())
 	}
-	return state.Route{
+	route := state.Route{
 		Name: state.RouteName(message.GetName()),
 		Match: state.Match{
 			Host:       message.GetHost(),
@@ -84,7 +101,15 @@
 			CallsPerSecond: message.GetCallerCallsPerSecond(),
 			Burst:          int(message.GetCallerBurst()),
 		},
-	}, nil
+		MaxAttempts: int(message.GetMaxAttempts()),
+	}
+	for _, part := range message.GetSplit() {
+		route.Split = append(route.Split, state.SplitPart{
+			Service: state.ServiceName(part.GetService()),
+			Weight:  part.GetWeight(),
+		})
+	}
+	return route, nil
 }
 
 func encodeService(service state.Service) *wirepb.Service {
@@ -93,6 +118,8 @@
 		Floors:               service.Floors[:],
 		SlowStartNanos:       int64(service.SlowStart),
 		RecordRetentionNanos: int64(service.RecordRetention),
+		SelfRegistered:       service.SelfRegistered,
+		Connections:          uint32(service.Connections),
 	}
 	for _, limit := range service.QueueLimits {
 		message.QueueLimits = append(message.QueueLimits, uint32(limit))
@@ -105,6 +132,8 @@
 		Name:            state.ServiceName(message.GetName()),
 		SlowStart:       time.Duration(message.GetSlowStartNanos()),
 		RecordRetention: time.Duration(message.GetRecordRetentionNanos()),
+		SelfRegistered:  message.GetSelfRegistered(),
+		Connections:     int(message.GetConnections()),
 	}
 	if len(message.GetFloors()) != state.ClassCount || len(message.GetQueueLimits()) != state.ClassCount {
 		return state.Service{}, malformed("service %q does not list every priority class", message.GetName())
@@ -126,6 +155,9 @@
 		Slots:       uint32(server.Slots),
 		Connections: uint32(server.Connections),
 		Draining:    server.Draining,
+		Incarnation: server.Incarnation,
+
+		WarmAtUnixMillis: server.WarmAt,
 	}
 }
 
@@ -139,6 +171,8 @@
 		Slots:       int(message.GetSlots()),
 		Connections: int(message.GetConnections()),
 		Draining:    message.GetDraining(),
+		Incarnation: message.GetIncarnation(),
+		WarmAt:      message.GetWarmAtUnixMillis(),
 	}
 }
 
--- a/protocol/ticketfile/encode.go
+++ b/protocol/ticketfile/encode.go
@@ -61,15 +61,22 @@
 type routeDocument struct {
 	Name          state.RouteName      `json:"name"`
 	Match         matchDocument        `json:"match"`
-	Service       state.ServiceName    `json:"service"`
+	Service       *state.ServiceName   `json:"service,omitempty"`
+	Split         []splitPartDocument  `json:"split,omitempty"`
 	Class         string               `json:"class"`
 	LatencyTarget string               `json:"latency_target"`
 	Timeout       string               `json:"timeout"`
 	Worth         float64              `json:"worth"`
 	Idempotent    bool                 `json:"idempotent"`
+	MaxAttempts   int                  `json:"max_attempts,omitempty"`
 	CallerLimit   *callerLimitDocument `json:"caller_limit,omitempty"`
 }
 
+type splitPartDocument struct {
+	Service state.ServiceName `json:"service"`
+	Weight  float64           `json:"weight"`
+}
+
 type matchDocument struct {
 	Host       string   `json:"host,omitempty"`
 	PathPrefix string   `json:"path_prefix"`
@@ -87,6 +94,8 @@
 	QueueLimits     map[string]int     `json:"queue_limits"`
 	SlowStart       string             `json:"slow_start"`
 	RecordRetention string             `json:"record_retention"`
+	SelfRegistered  bool               `json:"self_registered,omitempty"`
+	Connections     int                `json:"connections,omitempty"`
 }
 
 type backendServerDocument struct {
@@ -110,7 +119,7 @@
 		document.Set.Services = append(document.Set.Services, newServiceDocument(service))
 	}
 	for _, server := range ticket.Set.BackendServers {
-		document.Set.BackendServers = append(document.Set.BackendServers, backendServerDocument(server))
+		document.Set.BackendServers = append(document.Set.BackendServers, newBackendServerDocument(server))
 	}
 	for _, route := range ticket.Set.Routes {
 		document.Set.Routes = append(document.Set.Routes, newRouteDocument(route))
@@ -122,12 +131,18 @@
 	document := routeDocument{
 		Name:          route.Name,
 		Match:         matchDocument(route.Match),
-		Service:       route.Service,
 		Class:         route.Class.String(),
 		LatencyTarget: route.LatencyTarget.String(),
 		Timeout:       route.Timeout.String(),
 		Worth:         route.Worth,
 		Idempotent:    route.Idempotent,
+		MaxAttempts:   route.MaxAttempts,
+	}
+	if len(route.Split) == 0 {
+		document.Service = &route.Service
+	}
+	for _, part := range route.Split {
+		document.Split = append(document.Split, splitPartDocument(part))
 	}
 	if route.CallerLimit != (state.CallerLimit{}) {
 		limit := callerLimitDocument(route.CallerLimit)
@@ -143,6 +158,23 @@
 		QueueLimits:     perClass(service.QueueLimits),
 		SlowStart:       service.SlowStart.String(),
 		RecordRetention: service.RecordRetention.String(),
+		SelfRegistered:  service.SelfRegistered,
+		Connections:     service.Connections,
+	}
+}
+
+// newBackendServerDocument leaves out what only backend servers that register
+// themselves tell.
+func newBackendServerDocument(server state.BackendServer) backendServerDocument {
+	return backendServerDocument{
+		Name:        server.Name,
+		Service:     server.Service,
+		Host:        server.Host,
+		Zone:        server.Zone,
+		Address:     server.Address,
+		Slots:       server.Slots,
+		Connections: server.Connections,
+		Draining:    server.Draining,
 	}
 }
 
--- a/protocol/ticketfile/schema.go
+++ b/protocol/ticketfile/schema.go
@@ -81,21 +81,36 @@
 
 func decodeRoute(r *reader, path string) state.Route {
 	route := state.Route{Match: state.Match{PathPrefix: defaultPathPrefix}, Worth: defaultWorth}
-	r.object(
+	r.objectWith(
 		path,
+		map[string]string{"service": "split"},
 		field{"name", true, func(path string) { route.Name = decodeString[state.RouteName](r, path) }},
 		field{"match", false, func(path string) { decodeMatch(r, path, &route.Match) }},
 		field{"service", true, func(path string) { route.Service = decodeString[state.ServiceName](r, path) }},
+		field{"split", false, func(path string) {
+			route.Split = decodeArray(r, path, func(path string) state.SplitPart { return decodeSplitPart(r, path) })
+		}},
 		field{"class", true, func(path string) { route.Class = r.class(path) }},
 		field{"latency_target", true, func(path string) { route.LatencyTarget = r.duration(path) }},
 		field{"timeout", true, func(path string) { route.Timeout = r.duration(path) }},
 		field{"worth", false, func(path string) { route.Worth = r.number(path) }},
 		field{"idempotent", true, func(path string) { route.Idempotent = r.boolean(path) }},
+		field{"max_attempts", false, func(path string) { route.MaxAttempts = r.count(path) }},
 		field{"caller_limit", false, func(path string) { route.CallerLimit = decodeCallerLimit(r, path) }},
 	)
 	return route
 }
 
+func decodeSplitPart(r *reader, path string) state.SplitPart {
+	var part state.SplitPart
+	r.object(
+		path,
+		field{"service", true, func(path string) { part.Service = decodeString[state.ServiceName](r, path) }},
+		field{"weight", true, func(path string) { part.Weight = r.number(path) }},
+	)
+	return part
+}
+
 func decodeMatch(r *reader, path string, match *state.Match) {
 	r.object(
 		path,
@@ -129,6 +144,8 @@
 		field{"queue_limits", false, func(path string) { decodePerClass(r, path, &service.QueueLimits, r.count) }},
 		field{"slow_start", false, func(path string) { service.SlowStart = r.duration(path) }},
 		field{"record_retention", false, func(path string) { service.RecordRetention = r.duration(path) }},
+		field{"self_registered", false, func(path string) { service.SelfRegistered = r.boolean(path) }},
+		field{"connections", false, func(path string) { service.Connections = r.count(path) }},
 	)
 	return service
 }
--- a/protocol/ticketfile/value.go
+++ b/protocol/ticketfile/value.go
@@ -21,7 +21,11 @@
 
 // object reads an object. Members that are unknown, duplicate or missing are
 // faults.
-func (r *reader) object(path string, fields ...field) {
+func (r *reader) object(path string, fields ...field) { r.objectWith(path, nil, fields...) }
+
+// objectWith reads an object in which a required member may be missing when
+// the one that instead names for it is there.
+func (r *reader) objectWith(path string, instead map[string]string, fields ...field) {
 	first := r.next(path)
 	if first != json.Delim('{') {
 		r.wrongType(path, first, "an object")
@@ -37,7 +41,7 @@
 		return
 	}
 	for _, field := range fields {
-		if field.required && !seen[field.name] {
+		if field.required && !seen[field.name] && !seen[instead[field.name]] {
 			r.fault(join(path, field.name), "is missing")
 		}
 	}
--- a/state/digest.go
+++ b/state/digest.go
@@ -68,11 +68,17 @@
 		buffer.text(method)
 	}
 	buffer.text(string(route.Service))
+	buffer.integer(int64(len(route.Split)))
+	for _, part := range route.Split {
+		buffer.text(string(part.Service))
+		buffer.decimal(part.Weight)
+	}
 	buffer.integer(int64(route.Class))
 	buffer.integer(int64(route.LatencyTarget))
 	buffer.integer(int64(route.Timeout))
 	buffer.decimal(route.Worth)
 	buffer.flag(route.Idempotent)
+	buffer.integer(int64(route.MaxAttempts))
 	buffer.decimal(route.CallerLimit.CallsPerSecond)
 	buffer.integer(int64(route.CallerLimit.Burst))
 	return buffer.sum()
@@ -87,6 +93,8 @@
 	}
 	buffer.integer(int64(service.SlowStart))
 	buffer.integer(int64(service.RecordRetention))
+	buffer.flag(service.SelfRegistered)
+	buffer.integer(int64(service.Connections))
 	return buffer.sum()
 }
 
@@ -100,5 +108,7 @@
 	buffer.integer(int64(server.Slots))
 	buffer.integer(int64(server.Connections))
 	buffer.flag(server.Draining)
+	buffer.integer(server.Incarnation)
+	buffer.integer(server.WarmAt)
 	return buffer.sum()
 }
--- a/state/host.go
+++ b/state/host.go
@@ -48,9 +48,11 @@
 	// Version grows with each change of the list.
 	Version uint64
 	Hosts   []Host
+	// Registered are the backend servers that have registered themselves.
+	Registered []BackendServer
 }
 
-// Digest returns a hash of the hosts that does not depend on their order.
+// Digest returns a hash of the list that does not depend on its order.
 func (l HostList) Digest() Digest {
 	var sum uint64
 	for _, host := range l.Hosts {
@@ -62,5 +64,8 @@
 		buffer.integer(int64(host.Phase))
 		sum += buffer.sum()
 	}
+	for _, server := range l.Registered {
+		sum += hashBackendServer(server)
+	}
 	return Digest(sum)
 }
--- /dev/null
+++ b/state/registry.go
@@ -0,0 +1,45 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Registry holds the backend servers that have registered themselves, apart
+// from tickets. It is immutable and safe for use by many threads.
+type Registry struct {
+	version   uint64
+	byName    map[BackendServerName]BackendServer
+	byService map[ServiceName][]BackendServer
+}
+
+var emptyRegistry = NewRegistry(0, nil)
+
+// NewRegistry returns a registry. A larger version is a newer one.
+func NewRegistry(version uint64, servers []BackendServer) *Registry {
+	registry := &Registry{
+		version:   version,
+		byName:    make(map[BackendServerName]BackendServer, len(servers)),
+		byService: make(map[ServiceName][]BackendServer),
+	}
+	for _, server := range servers {
+		registry.byName[server.Name] = server
+	}
+	for _, server := range registry.byName {
+		registry.byService[server.Service] = append(registry.byService[server.Service], server)
+	}
+	for _, servers := range registry.byService {
+		slices.SortFunc(servers, func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return registry
+}
+
+// Version returns the version of the registry; 0 means that nothing is known.
+func (r *Registry) Version() uint64 { return r.version }
+
+func (r *Registry) server(name BackendServerName) (BackendServer, bool) {
+	server, ok := r.byName[name]
+	return server, ok
+}
+
+func (r *Registry) serversOf(service ServiceName) []BackendServer { return r.byService[service] }
--- a/state/resources.go
+++ b/state/resources.go
@@ -7,7 +7,8 @@
 	// Host is the request's host without port. Empty matches every host.
 	Host string
 	// PathPrefix is matched against whole path segments, so that "/permits"
-	// matches "/permits/7" but not "/permitsx".
+	// matches "/permits/7" but not "/permitsx". One that ends with a slash
+	// does not match the path without it.
 	PathPrefix string
 	// Methods lists the HTTP methods served. Empty means all methods.
 	Methods []string
@@ -22,12 +23,23 @@
 	Burst int
 }
 
+// SplitPart is the share of a route's calls that goes to one service.
+type SplitPart struct {
+	Service ServiceName
+	// Weight is the share, relative to the weights of the other parts.
+	Weight float64
+}
+
 // Route says which calls go to which Service and how they are ranked.
 type Route struct {
 	Name    RouteName
 	Match   Match
+	// Service takes all calls of the route, unless Split is set.
 	Service ServiceName
-	Class   PriorityClass
+	// Split divides the calls among several services. The share of a service
+	// that has no room is not moved to another.
+	Split []SplitPart
+	Class PriorityClass
 	// LatencyTarget is the time within which the users want an answer.
 	LatencyTarget time.Duration
 	// Timeout is the longest time a call may take, queueing included.
@@ -36,10 +48,25 @@
 	Worth float64
 	// Idempotent says that running a call twice does no harm. Only
 	// idempotent calls are retried after they may have run.
-	Idempotent  bool
+	Idempotent bool
+	// MaxAttempts is the number of backend servers that may get one call. 0
+	// leaves it to the entry node.
+	MaxAttempts int
 	CallerLimit CallerLimit
 }
 
+// Services returns the services that the calls of the route go to.
+func (r Route) Services() []ServiceName {
+	if len(r.Split) == 0 {
+		return []ServiceName{r.Service}
+	}
+	services := make([]ServiceName, len(r.Split))
+	for i, part := range r.Split {
+		services[i] = part.Service
+	}
+	return services
+}
+
 // Service is a set of backend servers that give the same answers.
 type Service struct {
 	Name ServiceName
@@ -55,6 +82,12 @@
 	// RecordRetention is how long the outcome of a call with an idempotency
 	// key is kept.
 	RecordRetention time.Duration
+	// SelfRegistered says that the backend servers of the service register
+	// themselves, see Registry, and that tickets do not list them.
+	SelfRegistered bool
+	// Connections is the number of connections that each backend server that
+	// registered itself accepts. 0 sets no limit.
+	Connections int
 }
 
 // BackendServer is one process that answers calls of a Service.
@@ -74,4 +107,10 @@
 	Connections int
 	// Draining says that it gets no new calls.
 	Draining bool
+	// Incarnation tells the lives of a backend server apart that starts again
+	// under the same name. 0 means that it is not known.
+	Incarnation int64
+	// WarmAt is the time in Unix milliseconds until which it is slow after its
+	// start. 0 means that it is not known.
+	WarmAt int64
 }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -18,6 +18,7 @@
 	backendServers map[BackendServerName]BackendServer
 	byService      map[ServiceName][]BackendServer
 	routesByHost   map[string][]Route
+	registry       *Registry
 }
 
 // EmptySnapshot returns the configuration before the first ticket.
@@ -49,16 +50,41 @@
 
 // BackendServer returns the backend server with the given name.
 func (s *Snapshot) BackendServer(name BackendServerName) (BackendServer, bool) {
-	server, ok := s.backendServers[name]
-	return server, ok
+	if server, ok := s.backendServers[name]; ok {
+		return server, true
+	}
+	server, ok := s.registry.server(name)
+	if !ok {
+		return BackendServer{}, false
+	}
+	return s.withConnections(server), s.services[server.Service].SelfRegistered
 }
 
 // BackendServersOf returns the backend servers of a service, ordered by name.
 // The caller must not change the slice.
 func (s *Snapshot) BackendServersOf(service ServiceName) []BackendServer {
+	if s.services[service].SelfRegistered {
+		return s.registry.serversOf(service)
+	}
 	return s.byService[service]
 }
 
+func (s *Snapshot) withConnections(server BackendServer) BackendServer {
+	server.Connections = s.services[server.Service].Connections
+	return server
+}
+
+// Registry returns the backend servers that have registered themselves.
+func (s *Snapshot) Registry() *Registry { return s.registry }
+
+// withRegistry returns a snapshot with the same configuration and another
+// registry. The digest covers the configuration alone.
+func (s *Snapshot) withRegistry(registry *Registry) *Snapshot {
+	next := *s
+	next.registry = registry
+	return &next
+}
+
 // RoutesForHost returns the routes whose match names exactly this host (empty
 // for routes that match every host), longest path prefix first and among equal
 // prefixes those that name methods first. The caller must not change the
--- a/state/snapshotbuilder.go
+++ b/state/snapshotbuilder.go
@@ -124,6 +124,7 @@
 		backendServers: b.backendServers,
 		byService:      b.byService,
 		routesByHost:   b.routesByHost,
+		registry:       emptyRegistry,
 	}
 }
 
@@ -175,7 +176,7 @@
 	)
 }
 
-func prefixLength(route Route) int { return len(strings.TrimSuffix(route.Match.PathPrefix, "/")) }
+func prefixLength(route Route) int { return len(route.Match.PathPrefix) }
 
 func routeHost(route Route) string { return strings.ToLower(route.Match.Host) }
 
--- a/state/snapshotstore.go
+++ b/state/snapshotstore.go
@@ -53,14 +53,37 @@
 	return shard.snapshot, s.changed
 }
 
-// Swap puts next in force and returns true. It changes nothing and returns
-// false when next is not newer than the snapshot in force.
+// Swap puts the configuration of next in force and returns true. It changes
+// nothing and returns false when next is not newer than the snapshot in force.
+// The registry stays as it is.
 func (s *SnapshotStore) Swap(next *Snapshot) bool {
+	return s.replace(func(current *Snapshot) *Snapshot {
+		if next.Judged() <= current.Judged() {
+			return nil
+		}
+		return next.withRegistry(current.registry)
+	})
+}
+
+// SwapRegistry replaces the backend servers that have registered themselves
+// and returns true. It changes nothing and returns false when registry is not
+// newer than the one held.
+func (s *SnapshotStore) SwapRegistry(registry *Registry) bool {
+	return s.replace(func(current *Snapshot) *Snapshot {
+		if registry.Version() <= current.registry.Version() {
+			return nil
+		}
+		return current.withRegistry(registry)
+	})
+}
+
+// replace puts what change returns into all shards, unless it is nil.
+func (s *SnapshotStore) replace(change func(current *Snapshot) *Snapshot) bool {
 	for i := range s.shards {
 		s.shards[i].mu.Lock()
 	}
-	newer := next.Judged() > s.shards[0].snapshot.Judged()
-	if newer {
+	next := change(s.shards[0].snapshot)
+	if next != nil {
 		for i := range s.shards {
 			s.shards[i].snapshot = next
 		}
@@ -70,5 +93,5 @@
 	for i := range s.shards {
 		s.shards[i].mu.Unlock()
 	}
-	return newer
+	return next != nil
 }
