--- a/config.go
+++ b/config.go
@@ -7,6 +7,9 @@
 	"github.com/go-logr/logr"
 
 	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/controlloop"
+	"github.com/wasabiport/wasabiport/transport/entry"
+	"github.com/wasabiport/wasabiport/transport/guard"
 	"github.com/wasabiport/wasabiport/transport/network"
 )
 
@@ -25,6 +28,30 @@
 	// No default.
 	PlatformURL string
 
+	// Source reads the platform in place of PlatformURL. Default nil.
+	Source controlloop.Source
+	// WholeSource says that Source holds the newest whole configuration alone,
+	// as baselines whose numbers leave some out. Default false.
+	WholeSource bool
+	// ReadersPerZone is the number of hosts of an availability zone that watch
+	// the platform, besides the roots of its trees. Default 0.
+	ReadersPerZone int
+	// TicketWatchPause and HostListWatchPause are the times between two
+	// watches of the platform that brought nothing. A longer one saves reads
+	// and learns of changes later. Default 1 s each.
+	TicketWatchPause   time.Duration
+	HostListWatchPause time.Duration
+	// Front maps the HTTP of callers, and Back that of backend servers. Default
+	// the system's own header names.
+	Front entry.Front
+	Back  guard.Back
+	// RetryShare is the number of retries that each call earns, and RetrySlack
+	// the number that all nodes together may save up for a service. With
+	// RetrySlack, only retries after an attempt that has reached a backend
+	// server count. Default 0.1 and none: each node saves up 100.
+	RetryShare float64
+	RetrySlack float64
+
 	// OfferInterval is the mean time between two choices of a random peer to
 	// exchange digests with, besides the peers of the trees, which do so all
 	// the time. A shorter one heals unlucky trees sooner and costs a session
--- a/coordination/acceptance/resource.go
+++ b/coordination/acceptance/resource.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net/http"
 	"net/netip"
 	"slices"
 	"strings"
@@ -39,10 +38,7 @@
 // floorTolerance allows for rounding in a sum of floors.
 const floorTolerance = 1e-9
 
-var knownMethods = []string{
-	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
-	http.MethodPatch, http.MethodDelete, http.MethodOptions,
-}
+var knownMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
 
 func checkRoute(faults *faultList, path string, route state.Route) {
 	checkName(faults, path+".name", "route", route.Name)
--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -20,6 +20,7 @@
 	// Ticket is the number of the latest accepted ticket at the entry node.
 	Ticket        state.TicketNumber
 	Route         state.RouteName
+	Service       state.ServiceName
 	BackendServer state.BackendServerName
 	Class         state.PriorityClass
 	Caller        state.CallerName
@@ -33,6 +34,11 @@
 	// Suspect says that an earlier attempt of the call was in flight when a
 	// backend server crashed.
 	Suspect bool
+	// Arrivals is the number of earlier attempts that have reached a backend
+	// server. MaxArrivals bounds them, this one included; 0 sets no bound.
+	// Only the entry node uses them.
+	Arrivals    int
+	MaxArrivals int
 	// IdempotencyKey is empty when the caller gave none.
 	IdempotencyKey string
 	// Idempotent says that running the call twice does no harm.
@@ -72,3 +78,35 @@
 	// Draining says that the backend server takes no new calls.
 	Draining bool
 }
+
+// Request is what a front end reads of a caller's request, before its route is
+// known.
+type Request struct {
+	// ID is empty when the caller gave none.
+	ID     state.CallID
+	Caller state.CallerName
+	// Remaining is the time that the caller has left; 0 means that it did not
+	// say.
+	Remaining      time.Duration
+	IdempotencyKey string
+	Method         string
+	// Host is lower case and without port, for finding the route.
+	Host string
+	// Path is what routes are matched with.
+	Path string
+	// Target is the path and query of the request.
+	Target        string
+	Authority     string
+	Fields        []Field
+	ContentLength int64
+}
+
+// Judgement says what an answer of a backend server means.
+type Judgement struct {
+	// Refusal is nil when the answer is for the caller.
+	Refusal *state.Refusal
+	// Shed says that the backend server had too much work.
+	Shed bool
+	// Spoiled says that the connection must not be used again.
+	Spoiled bool
+}
--- a/coordination/control/config.go
+++ b/coordination/control/config.go
@@ -43,6 +43,22 @@
 	// is below the size of the fleet lets a herd exceed SourceFallbackRate.
 	// Default 1,000.
 	ExpectedHosts int
+	// WholeSource says that the source holds the newest whole configuration
+	// alone: baselines, whose numbers leave some out. What one read brings is
+	// then enough to go by, and peers send each other only what the source
+	// withholds from one of them. Default false.
+	WholeSource bool
+	// ReadersPerZone is the number of hosts of an availability zone that watch
+	// the source, besides the roots of its trees. More readers hear of changes
+	// first hand and cost reads. Default 0.
+	ReadersPerZone int
+	// TicketWatchPause and HostListWatchPause are the times between two
+	// watches that brought nothing. Default 1 s each.
+	TicketWatchPause   time.Duration
+	HostListWatchPause time.Duration
+	// LapseGrace is how long a backend server whose registration is missing
+	// after the source was away may take to register again. Default 2 s.
+	LapseGrace time.Duration
 	// OrphanAfter is the age of the state at which a node that is no reader
 	// reads the source itself. It has to be longer than a watch. Default
 	// 60 s.
@@ -74,6 +90,9 @@
 	setDefault(&c.MaxSourceRetryInterval, 30*time.Second)
 	setDefault(&c.SourceFallbackRate, 200)
 	setDefault(&c.ExpectedHosts, 1000)
+	setDefault(&c.TicketWatchPause, time.Second)
+	setDefault(&c.HostListWatchPause, time.Second)
+	setDefault(&c.LapseGrace, 2*time.Second)
 	setDefault(&c.OrphanAfter, time.Minute)
 	setDefault(&c.SuspicionTimeout, 5*time.Second)
 	setDefault(&c.StatusInterval, 10*time.Second)
@@ -116,12 +135,12 @@
 	}
 }
 
-func (c Config) sourceReading() sourcereading.Config {
+func (c Config) sourceReading(watchPause time.Duration) sourcereading.Config {
 	return sourcereading.Config{
 		FallbackRate:  c.SourceFallbackRate,
 		ExpectedHosts: c.ExpectedHosts,
 		OrphanAfter:   c.OrphanAfter,
-		WatchPause:    time.Second,
+		WatchPause:    watchPause,
 		BusyPause:     200 * time.Millisecond,
 		Retry:         backoff.Policy{Base: c.SourceRetryInterval, Max: c.MaxSourceRetryInterval},
 	}
--- a/coordination/control/event.go
+++ b/coordination/control/event.go
@@ -61,6 +61,24 @@
 // asked for, or with some that wait behind a gap.
 type SourceAnsweredOld struct{}
 
+// BackendServerRegistered says that a backend server has registered itself,
+// or has changed what it says of itself.
+type BackendServerRegistered struct {
+	// Version is that of the host list that says so.
+	Version uint64
+	Server  state.BackendServer
+}
+
+// BackendServerUnregistered says that the registration of a backend server is
+// gone.
+type BackendServerUnregistered struct {
+	Version uint64
+	Server  state.BackendServer
+}
+
+func (BackendServerRegistered) event()   {}
+func (BackendServerUnregistered) event() {}
+
 func (TicketGap) event()         {}
 func (DigestDiverged) event()    {}
 func (SnapshotTaken) event()     {}
--- a/coordination/control/hosts.go
+++ b/coordination/control/hosts.go
@@ -34,8 +34,9 @@
 // for every answer, whether the list is newer or not.
 func (p *Plane) HostListAnswered(now time.Time, list state.HostList) Output {
 	output := p.noticePause(now)
-	answer := classifyHostList(list.Version, p.members.List().Version)
-	p.takeHostList(now, &output, "", list)
+	known := p.members.List()
+	answer := classifyHostList(list.Version, known.Version)
+	p.takeHostList(now, &output, "", p.lapses.answered(now, known, list))
 	p.hostLists.Answered(now, answer)
 	return output
 }
@@ -43,12 +44,16 @@
 // HostListFailed tells that a read of the host list failed.
 func (p *Plane) HostListFailed(now time.Time) Output {
 	p.hostLists.Failed(now)
+	p.lapses.failed()
 	return Output{}
 }
 
 // NextHostListRead returns when and how to read the host list next.
 func (p *Plane) NextHostListRead(now time.Time) HostListRead {
 	next := p.hostLists.Next(now)
+	if at, due := p.lapses.recheckAt(); due && !at.After(next.At) {
+		return HostListRead{At: at}
+	}
 	return HostListRead{At: next.At, After: p.members.List().Version, Watch: next.Watch}
 }
 
@@ -58,7 +63,7 @@
 	if !newer {
 		return
 	}
-	p.redraw(now)
+	p.listChanged(now, output, list)
 	p.spreadChanges(now, output, from, changes)
 }
 
@@ -75,13 +80,37 @@
 		return
 	}
 	if _, newer := p.members.ApplyList(now, list); newer {
-		p.redraw(now)
+		p.listChanged(now, output, list)
 		p.spreadChanges(now, output, from, changes)
 	}
 }
 
+// listChanged puts what has come with a host list in force.
+func (p *Plane) listChanged(now time.Time, output *Output, list state.HostList) {
+	p.redraw(now)
+	before := p.snapshots.Load().Registry()
+	registry := state.NewRegistry(list.Version, list.Registered)
+	if p.snapshots.SwapRegistry(registry) {
+		reportRegistry(output, before, registry)
+	}
+}
+
+// reportRegistry tells which backend servers have come, changed and gone.
+func reportRegistry(output *Output, before, after *state.Registry) {
+	for _, server := range after.Servers() {
+		if known, ok := before.Server(server.Name); !ok || known != server {
+			output.report(BackendServerRegistered{Version: after.Version(), Server: server})
+		}
+	}
+	for _, server := range before.Servers() {
+		if _, ok := after.Server(server.Name); !ok {
+			output.report(BackendServerUnregistered{Version: after.Version(), Server: server})
+		}
+	}
+}
+
 func (p *Plane) spreadChanges(now time.Time, output *Output, from state.HostName, changes membership.Changes) {
-	if len(changes.Set)+len(changes.Remove) > maxPushedHosts {
+	if p.config.WholeSource || len(changes.Set)+len(changes.Remove) > maxPushedHosts {
 		p.spread(output, p.offer(now), from)
 		return
 	}
@@ -101,8 +130,10 @@
 	topology := dissemination.Draw(p.config.Self, hosts)
 	p.links.Redraw(now, topology)
 	leaving := p.members.Self().Phase != state.HostLive
-	known := len(p.members.List().Hosts)
-	p.tickets.SetRole(now, topology.Reader && !leaving && known > 0, known)
-	p.hostLists.SetRole(now, topology.Reader && !leaving && known > 0, known)
+	list := p.members.List()
+	reader := topology.Reader || dissemination.RankInZone(p.config.Self, hosts) < p.config.ReadersPerZone
+	reader = reader && !leaving && list.Version > 0
+	p.tickets.SetRole(now, reader, len(list.Hosts))
+	p.hostLists.SetRole(now, reader, len(list.Hosts))
 	p.schedule.redrawn(now, generation)
 }
--- a/coordination/control/offer.go
+++ b/coordination/control/offer.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/wasabiport/wasabiport/coordination/sourcereading"
+
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -44,7 +46,9 @@
 func (p *Plane) compareHeads(now time.Time, output *Output, from state.HostName, offer Offer) {
 	own := p.Head()
 	if offer.Head.Judged > own.Judged {
-		p.requestTickets(now, output, from)
+		if !p.sourceTells(p.tickets) || p.inquiries.behindTickets(now, own.Judged) {
+			p.requestTickets(now, output, from)
+		}
 		return
 	}
 	if offer.Head.Judged < own.Judged {
@@ -63,6 +67,9 @@
 	own := p.members.List().Version
 	switch {
 	case offer.HostListVersion > own:
+		if p.sourceTells(p.hostLists) && !p.inquiries.behindHostList(now, own) {
+			return
+		}
 		if p.inquiries.mayAskHostList(now) {
 			output.send(from, HostListRequest{Have: own})
 		}
@@ -71,6 +78,12 @@
 	}
 }
 
+// sourceTells reports whether this node may expect to hear from the source
+// what a peer has heard.
+func (p *Plane) sourceTells(plan *sourcereading.Plan) bool {
+	return p.config.WholeSource && plan.Watches()
+}
+
 func (p *Plane) requestTickets(now time.Time, output *Output, from state.HostName) {
 	if p.inquiries.mayAskTickets(now) {
 		output.send(from, Request{After: p.Head().Judged})
--- a/coordination/control/plane.go
+++ b/coordination/control/plane.go
@@ -31,6 +31,7 @@
 	status    *fleetstatus.Collector
 	cursor    *readCursor
 	inquiries *inquiries
+	lapses    *lapses
 	schedule  *schedule
 	readiness *readiness
 }
@@ -45,11 +46,12 @@
 		members:   membership.NewTable(config.membership()),
 		peers:     newPeerTable(),
 		links:     dissemination.NewLinks(config.links(), fork(random)),
-		tickets:   sourcereading.NewPlan(config.sourceReading(), fork(random)),
-		hostLists: sourcereading.NewPlan(config.sourceReading(), fork(random)),
+		tickets:   sourcereading.NewPlan(config.sourceReading(config.TicketWatchPause), fork(random)),
+		hostLists: sourcereading.NewPlan(config.sourceReading(config.HostListWatchPause), fork(random)),
 		status:    fleetstatus.NewCollector(statusRetention * config.StatusInterval),
 		cursor:    &readCursor{},
 		inquiries: &inquiries{},
+		lapses:    newLapses(config.LapseGrace),
 		schedule:  newSchedule(config, fork(random)),
 		readiness: &readiness{},
 	}
@@ -121,6 +123,10 @@
 // Host returns what is known of a host.
 func (p *Plane) Host(name state.HostName) (state.Host, bool) { return p.members.Host(name) }
 
+// HostCount returns the number of hosts that are known, this node's own
+// included.
+func (p *Plane) HostCount() int { return max(1, len(p.members.List().Hosts)) }
+
 // PhaseOf returns the phase of a host. A host that is not known is gone.
 func (p *Plane) PhaseOf(name state.HostName) state.HostPhase { return p.members.PhaseOf(name) }
 
--- a/coordination/control/ready.go
+++ b/coordination/control/ready.go
@@ -32,7 +32,9 @@
 	// hostListKnown says that others is from a host list.
 	hostListKnown bool
 	wantedPeers   int
-	timeout       time.Duration
+	// wholeSource says that one answer of the source is enough to go by.
+	wholeSource bool
+	timeout     time.Duration
 }
 
 func (r *readiness) started(now time.Time) {
@@ -97,6 +99,9 @@
 	if !r.waitingSince.IsZero() && now.Sub(r.waitingSince) >= input.timeout {
 		return ""
 	}
+	if input.wholeSource && r.sourceHeard && input.hostListKnown {
+		return ""
+	}
 	if input.judged < input.highest {
 		return fmt.Sprintf("at ticket %d while a peer is at %d", input.judged, input.highest)
 	}
@@ -134,5 +139,6 @@
 		hostListKnown: p.members.List().Version > 0,
 		wantedPeers:   p.config.ReadyPeers,
 		timeout:       p.config.ReadyTimeout,
+		wholeSource:   p.config.WholeSource,
 	})
 }
--- a/coordination/control/tickets.go
+++ b/coordination/control/tickets.go
@@ -70,7 +70,7 @@
 		if !ticket.Baseline || ticket.Number <= before.Judged()+1 {
 			continue
 		}
-		if _, verdict := acceptance.Judge(before, ticket); verdict.Accepted() {
+		if _, verdict := acceptance.Judge(before, ticket); verdict.Accepted() || p.config.WholeSource {
 			p.judge(output, before, ticket)
 		}
 	}
@@ -85,6 +85,10 @@
 }
 
 func (p *Plane) passOn(now time.Time, output *Output, from state.HostName, fresh []state.Ticket) {
+	if p.config.WholeSource {
+		p.spread(output, p.offer(now), from)
+		return
+	}
 	size := 0
 	for _, ticket := range fresh {
 		size += ticket.ApproximateBytes()
--- a/coordination/dissemination/topology.go
+++ b/coordination/dissemination/topology.go
@@ -59,6 +59,19 @@
 	return topology
 }
 
+// RankInZone returns the place of self in the order of the hosts of its
+// availability zone, from 0. Hosts need not contain self.
+func RankInZone(self state.Host, hosts []state.Host) int {
+	own := rank(0, self.Name)
+	place := 0
+	for _, name := range namesByZone(self, hosts)[self.Zone] {
+		if name != self.Name && rank(0, name) < own {
+			place++
+		}
+	}
+	return place
+}
+
 func namesByZone(self state.Host, hosts []state.Host) map[state.AvailabilityZone][]state.HostName {
 	zones := map[state.AvailabilityZone][]state.HostName{self.Zone: {self.Name}}
 	for _, host := range hosts {
--- a/coordination/picking/picking.go
+++ b/coordination/picking/picking.go
@@ -49,6 +49,9 @@
 	return picked, nil
 }
 
+// Draw returns a random number from 0 up to but without 1.
+func (p *Picker) Draw() float64 { return p.random.float64() }
+
 // PickKeyed returns the backend server that has to be asked next for a call
 // with an idempotency key, when those in declined take no new calls and said
 // that they have not run it. The health of backend servers plays no part: only
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -1,6 +1,8 @@
 package retry
 
-import "sync"
+import (
+	"github.com/wasabiport/wasabiport/state"
+)
 
 // Defaults of BudgetConfig.
 const (
@@ -14,20 +16,24 @@
 	// share hides more failures and adds more load to servers that fail.
 	// Default 0.1.
 	Share float64
-	// Capacity bounds the retries that are saved up, and is what the budget
-	// starts with. Default 100.
+	// Capacity bounds the retries that are saved up for one service, and is
+	// what the budget starts with. Default 100.
 	Capacity float64
+	// Nodes returns the number of nodes that share Capacity. A budget that is
+	// shared starts empty, so that nodes which restart gain nothing. Nil means
+	// that it is not shared. Default nil.
+	Nodes func() int
 }
 
-// Budget bounds the retries of one node to a share of its calls. It is safe
-// for use by many threads.
+// Budget bounds the retries of one node to a share of its calls, for each
+// service on its own. It is safe for use by many threads; balances are in
+// shards by service.
 type Budget struct {
-	mu      sync.Mutex
-	config  BudgetConfig
-	balance float64
+	config   BudgetConfig
+	balances *state.ShardedMap[state.ServiceName, float64]
 }
 
-// NewBudget returns a full budget.
+// NewBudget returns a budget that is full, unless it is shared.
 func NewBudget(config BudgetConfig) *Budget {
 	if config.Share == 0 {
 		config.Share = DefaultShare
@@ -35,23 +41,50 @@
 	if config.Capacity == 0 {
 		config.Capacity = DefaultCapacity
 	}
-	return &Budget{config: config, balance: config.Capacity}
+	return &Budget{
+		config:   config,
+		balances: state.NewShardedMap[state.ServiceName, float64](state.DefaultShardCount),
+	}
 }
 
-// Earn adds what one first attempt earns.
-func (b *Budget) Earn() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.balance = min(b.config.Capacity, b.balance+b.config.Share)
+// Earn adds what one first attempt at a service earns.
+func (b *Budget) Earn(service state.ServiceName) {
+	capacity := b.capacity()
+	b.balances.Update(service, func(balance float64, present bool) (float64, bool) {
+		return min(capacity, b.start(balance, present)+b.config.Share), true
+	})
+}
+
+// Spend takes one retry from the budget of a service. It returns false when
+// there is none.
+func (b *Budget) Spend(service state.ServiceName) bool {
+	spent := false
+	b.balances.Update(service, func(balance float64, present bool) (float64, bool) {
+		balance = b.start(balance, present)
+		if spent = balance >= 1; spent {
+			balance--
+		}
+		return balance, true
+	})
+	return spent
+}
+
+// Balance returns the retries that are left for a service.
+func (b *Budget) Balance(service state.ServiceName) float64 {
+	balance, present := b.balances.Get(service)
+	return b.start(balance, present)
+}
+
+func (b *Budget) start(balance float64, present bool) float64 {
+	if present || b.config.Nodes != nil {
+		return balance
+	}
+	return b.config.Capacity
 }
 
-// Spend takes one retry from the budget. It returns false when there is none.
-func (b *Budget) Spend() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.balance < 1 {
-		return false
+func (b *Budget) capacity() float64 {
+	if b.config.Nodes == nil {
+		return b.config.Capacity
 	}
-	b.balance--
-	return true
+	return max(1, b.config.Capacity/float64(max(1, b.config.Nodes())))
 }
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -33,6 +33,10 @@
 	BaseDelay time.Duration
 	// MaxDelay bounds every delay. Default 1 second.
 	MaxDelay time.Duration
+	// ArrivalsOnly says that an attempt draws on the budget only when an
+	// earlier one has reached a backend server. A refusal of a guard then costs
+	// nothing. Default false.
+	ArrivalsOnly bool
 }
 
 // Action says what follows a refusal.
@@ -90,20 +94,32 @@
 // one of a call that is not idempotent; Decide never asks for another.
 func (p *Policy) Decide(now time.Time, head call.Head, refusal *state.Refusal, attempts int) Decision {
 	action := nextAction(head, refusal)
-	if action == ActionAnswer || attempts >= p.config.MaxAttempts {
+	if refusal.Arrived {
+		head.Arrivals++
+	}
+	spent := head.MaxArrivals > 0 && head.Arrivals >= head.MaxArrivals
+	if action == ActionAnswer || attempts >= p.config.MaxAttempts || spent {
 		return answer(head, refusal)
 	}
 	var delay time.Duration
 	if action == ActionSameServer {
 		delay = p.delay(attempts)
 	}
-	if !now.Add(delay).Before(head.Deadline) || !p.budget.Spend() {
+	if !now.Add(delay).Before(head.Deadline) || !p.mayRepeat(head) {
 		return answer(head, refusal)
 	}
 	suspect := head.Suspect || refusal.Reason == state.RefusedBackendServerFailed
 	return Decision{Action: action, Delay: delay, Suspect: suspect}
 }
 
+// mayRepeat draws on the budget if the next attempt is to be paid for.
+func (p *Policy) mayRepeat(head call.Head) bool {
+	if p.config.ArrivalsOnly && head.Arrivals == 0 {
+		return true
+	}
+	return p.budget.Spend(head.Service)
+}
+
 func (p *Policy) delay(attempts int) time.Duration {
 	bound := p.config.BaseDelay
 	for i := 1; i < attempts && bound < p.config.MaxDelay; i++ {
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -95,8 +95,8 @@
 	budget := retry.NewBudget(retry.BudgetConfig{Share: 0.1, Capacity: 10})
 	retries := 0
 	for range calls {
-		budget.Earn()
-		for budget.Spend() {
+		budget.Earn("desk")
+		for budget.Spend("desk") {
 			retries++
 		}
 	}
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -2,7 +2,6 @@
 package routing
 
 import (
-	"net/http"
 	"slices"
 	"strings"
 
@@ -37,5 +36,25 @@
 	if len(methods) == 0 || slices.Contains(methods, method) {
 		return true
 	}
-	return method == http.MethodHead && slices.Contains(methods, http.MethodGet)
+	return method == "HEAD" && slices.Contains(methods, "GET")
+}
+
+// Service returns the service that a call on a route goes to. Draw is a random
+// number from 0 up to but without 1.
+func Service(route state.Route, draw float64) state.ServiceName {
+	if len(route.Split) == 0 {
+		return route.Service
+	}
+	total := 0.0
+	for _, part := range route.Split {
+		total += part.Weight
+	}
+	rest := draw * total
+	for _, part := range route.Split {
+		if rest < part.Weight {
+			return part.Service
+		}
+		rest -= part.Weight
+	}
+	return route.Split[len(route.Split)-1].Service
 }
--- a/coordination/sourcereading/plan.go
+++ b/coordination/sourcereading/plan.go
@@ -108,6 +108,13 @@
 	p.nextAt = earlier(p.nextAt, now.Add(p.upTo(p.config.WatchPause)))
 }
 
+// Watches reports whether this node holds a watch on a source that answers.
+func (p *Plan) Watches() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reader && p.failures == 0
+}
+
 // Answered takes the outcome of a read.
 func (p *Plan) Answered(now time.Time, answer Answer) {
 	p.mu.Lock()
--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -14,7 +14,7 @@
 	"github.com/wasabiport/wasabiport/protocol/peerwire"
 	"github.com/wasabiport/wasabiport/protocol/wirepb"
 	"github.com/wasabiport/wasabiport/state"
-	"github.com/wasabiport/wasabiport/transport/platform"
+	"github.com/wasabiport/wasabiport/transport/source"
 )
 
 const (
@@ -42,7 +42,7 @@
 
 // baselineRun is what the nodes of a baseline share.
 type baselineRun struct {
-	source  *source
+	source  *sourceServer
 	nodes   int
 	bytes   traffic
 	inForce latencies
@@ -57,7 +57,7 @@
 }
 
 func runBaseline(ctx context.Context, nodes int, start func(context.Context, *baselineRun) error) ([]Result, error) {
-	source, err := newSource(ctx)
+	source, err := newSourceServer(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -130,7 +130,7 @@
 func (r *baselineRun) watch(ctx context.Context, accepted func(state.Ticket, *state.Snapshot)) {
 	client := countingClient(&r.bytes.source)
 	defer client.CloseIdleConnections()
-	reader := platform.NewClient(r.source.url, client)
+	reader := source.NewClient(r.source.url, client)
 	snapshot := state.EmptySnapshot()
 	for ctx.Err() == nil {
 		tickets, err := reader.Tickets(ctx, snapshot.Judged(), baselineWatchWait)
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -41,14 +41,14 @@
 type fleet struct {
 	seed     uint64
 	services int
-	source   *source
+	source   *sourceServer
 	members  []*member
 }
 
 // startFleet starts nodes and waits until the first ticket, which carries the
 // whole configuration, is in force on all of them.
 func startFleet(ctx context.Context, seed uint64, nodes, services int) (*fleet, error) {
-	source, err := newSource(ctx)
+	source, err := newSourceServer(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/source.go
+++ b/internal/bench/source.go
@@ -16,9 +16,9 @@
 
 const readHeaderTimeout = 5 * time.Second
 
-// source is the stand-in platform behind a TCP listener, with the time at
+// sourceServer is the stand-in platform behind a TCP listener, with the time at
 // which each ticket was filed. It is safe for use by many threads.
-type source struct {
+type sourceServer struct {
 	platform *standin.Platform
 	server   *http.Server
 	url      string
@@ -27,14 +27,14 @@
 	filed map[state.TicketNumber]time.Time
 }
 
-func newSource(ctx context.Context) (*source, error) {
+func newSourceServer(ctx context.Context) (*sourceServer, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for reads of the platform")
 	}
 	platform := standin.NewPlatform(standin.PlatformConfig{})
-	s := &source{
+	s := &sourceServer{
 		platform: platform,
 		server:   &http.Server{Handler: platform, ReadHeaderTimeout: readHeaderTimeout},
 		url:      "http://" + listener.Addr().String(),
@@ -44,7 +44,7 @@
 	return s, nil
 }
 
-func (s *source) file(ticket state.Ticket) error {
+func (s *sourceServer) file(ticket state.Ticket) error {
 	raw, err := ticketfile.Encode(ticket)
 	if err != nil {
 		return errors.Wrap(err, "encode a ticket")
@@ -56,10 +56,10 @@
 	return errors.Wrap(err, "file a ticket")
 }
 
-func (s *source) filedAt(number state.TicketNumber) time.Time {
+func (s *sourceServer) filedAt(number state.TicketNumber) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.filed[number]
 }
 
-func (s *source) close() { _ = s.server.Close() }
+func (s *sourceServer) close() { _ = s.server.Close() }
--- a/protocol/httpmap/backend.go
+++ b/protocol/httpmap/backend.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
 )
 
 // Shed reports whether an answer of a backend server says that it has too much
@@ -18,6 +20,22 @@
 	}
 }
 
+// Back maps calls to requests to backend servers, and their answers back, by
+// the system's own header names.
+type Back struct{}
+
+// SetHeader sets the fields of a request that the system adds.
+func (Back) SetHeader(header http.Header, head call.Head, remaining time.Duration) {
+	header.Set(HeaderCallID, string(head.ID))
+	header.Set(HeaderCaller, string(head.Caller))
+	header.Set(HeaderTimeout, FormatTimeout(remaining))
+}
+
+// Judge says what an answer of a backend server means.
+func (Back) Judge(_ call.Head, response *http.Response) call.Judgement {
+	return call.Judgement{Shed: Shed(response.StatusCode, response.Header)}
+}
+
 // FormatTimeout returns the value of HeaderTimeout, to the millisecond.
 func FormatTimeout(remaining time.Duration) string {
 	return max(remaining, time.Millisecond).Truncate(time.Millisecond).String()
--- a/providers.go
+++ b/providers.go
@@ -17,6 +17,7 @@
 	"github.com/wasabiport/wasabiport/coordination/picking"
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/coordination/retry"
+	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
@@ -25,7 +26,7 @@
 	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/operator"
 	"github.com/wasabiport/wasabiport/transport/peering"
-	"github.com/wasabiport/wasabiport/transport/platform"
+	"github.com/wasabiport/wasabiport/transport/source"
 )
 
 // snapshotShardCount is the number of shards of the snapshot store.
@@ -78,6 +79,10 @@
 		OfferInterval:       config.OfferInterval,
 		ExpectedHosts:       config.ExpectedHosts,
 		SourceRetryInterval: config.SourceRetryInterval,
+		WholeSource:         config.WholeSource,
+		ReadersPerZone:      config.ReadersPerZone,
+		TicketWatchPause:    config.TicketWatchPause,
+		HostListWatchPause:  config.HostListWatchPause,
 	}
 	return control.NewPlane(settings, snapshots, newRandom(config, randomOfPlane))
 }
@@ -86,8 +91,11 @@
 	return picking.NewPicker(picking.Config{Zone: config.Self.Zone}, hosts, newRandom(config, randomOfPicker))
 }
 
-func newSource(config Config) *platform.Client {
-	return platform.NewClient(config.PlatformURL, config.HTTPClient)
+func newSource(config Config) controlloop.Source {
+	if config.Source != nil {
+		return config.Source
+	}
+	return source.NewClient(config.PlatformURL, config.HTTPClient)
 }
 
 func newLogger(config Config) logr.Logger { return config.Logger }
@@ -113,7 +121,11 @@
 	zone guard.Zone,
 	logger logr.Logger,
 ) *guard.Guard {
-	return guard.New(config.Self.Name, snapshots, decisions, zone, config.Network, logger)
+	back := config.Back
+	if back == nil {
+		back = httpmap.Back{}
+	}
+	return guard.New(config.Self.Name, back, snapshots, decisions, zone, config.Network, logger)
 }
 
 func newCallMetrics(registry *prometheus.Registry, guard *guard.Guard) (*metrics.Calls, error) {
@@ -123,11 +135,15 @@
 	return metrics.NewCalls(registry)
 }
 
-func newDecisions(config Config, picker *picking.Picker) entry.Decisions {
-	budget := retry.NewBudget(retry.BudgetConfig{})
+func newDecisions(config Config, picker *picking.Picker, plane *control.Plane) entry.Decisions {
+	settings := retry.BudgetConfig{Share: config.RetryShare, Capacity: config.RetrySlack}
+	if config.RetrySlack > 0 {
+		settings.Nodes = plane.HostCount
+	}
+	budget := retry.NewBudget(settings)
 	return entry.Decisions{
 		Picker:  picker,
-		Retries: retry.NewPolicy(retry.Config{}, budget, newRandom(config, randomOfRetries)),
+		Retries: retry.NewPolicy(retry.Config{ArrivalsOnly: config.RetrySlack > 0}, budget, newRandom(config, randomOfRetries)),
 		Budget:  budget,
 		Limits:  callerlimit.New(callerlimit.Config{}),
 	}
@@ -144,12 +160,15 @@
 	observer entry.Observer,
 ) *entry.Handler {
 	settings := entry.Config{
-		Self:            config.Self.Name,
-		MaxBodyBytes:    config.MaxBodyBytes,
-		MaxHeaderFields: config.MaxHeaderFields,
-		StallTimeout:    config.StallTimeout,
+		Self:         config.Self.Name,
+		MaxBodyBytes: config.MaxBodyBytes,
+		StallTimeout: config.StallTimeout,
+	}
+	front := config.Front
+	if front == nil {
+		front = httpmap.Front{MaxHeaderFields: config.MaxHeaderFields}
 	}
-	return entry.NewHandler(settings, decisions, snapshots, hosts, readiness, dialer, local, observer)
+	return entry.NewHandler(settings, front, decisions, snapshots, hosts, readiness, dialer, local, observer)
 }
 
 func newCallerServer(config Config, handler *entry.Handler) *http.Server {
--- a/state/registry.go
+++ b/state/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -37,9 +38,15 @@
 // Version returns the version of the registry; 0 means that nothing is known.
 func (r *Registry) Version() uint64 { return r.version }
 
-func (r *Registry) server(name BackendServerName) (BackendServer, bool) {
+// Server returns the backend server with the given name.
+func (r *Registry) Server(name BackendServerName) (BackendServer, bool) {
 	server, ok := r.byName[name]
 	return server, ok
 }
 
+// Servers returns all backend servers in no order.
+func (r *Registry) Servers() []BackendServer {
+	return slices.Collect(maps.Values(r.byName))
+}
+
 func (r *Registry) serversOf(service ServiceName) []BackendServer { return r.byService[service] }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -53,7 +53,7 @@
 	if server, ok := s.backendServers[name]; ok {
 		return server, true
 	}
-	server, ok := s.registry.server(name)
+	server, ok := s.registry.Server(name)
 	if !ok {
 		return BackendServer{}, false
 	}
--- a/transport/controlloop/logging.go
+++ b/transport/controlloop/logging.go
@@ -48,6 +48,21 @@
 		return events.ParentReplaced{Parent: event.Parent}
 	case control.Resumed:
 		return events.NodePaused{Late: event.Late}
+	case control.BackendServerRegistered:
+		return events.BackendServerRegistered{
+			Version:       event.Version,
+			BackendServer: event.Server.Name,
+			Service:       event.Server.Service,
+			Address:       event.Server.Address,
+			Zone:          event.Server.Zone,
+			Draining:      event.Server.Draining,
+		}
+	case control.BackendServerUnregistered:
+		return events.BackendServerUnregistered{
+			Version:       event.Version,
+			BackendServer: event.Server.Name,
+			Service:       event.Server.Service,
+		}
 	case control.SourceAnsweredOld:
 		return events.SourceAnsweredOld{}
 	default:
--- a/transport/controlloop/loop_test.go
+++ b/transport/controlloop/loop_test.go
@@ -17,7 +17,7 @@
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/events"
-	"github.com/wasabiport/wasabiport/transport/platform"
+	"github.com/wasabiport/wasabiport/transport/source"
 )
 
 // failingSource fails every read with err and notes the times of the reads.
@@ -79,7 +79,7 @@
 
 func TestThrottledSourceIsLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		throttled := &platform.ThrottledError{Status: "429", Delay: time.Minute}
+		throttled := &source.ThrottledError{Status: "429", Delay: time.Minute}
 		source := &failingSource{err: errors.Wrap(throttled, "read")}
 		loop, _, _ := startLoop(t, source)
 		time.Sleep(20 * time.Minute)
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -18,15 +18,14 @@
 func (h *Handler) dispatch(
 	ctx context.Context,
 	snapshot *state.Snapshot,
-	route state.Route,
 	head call.Head,
 	body *callstream.Body,
 ) (*callstream.Reply, *state.Refusal) {
-	h.decisions.Budget.Earn()
+	h.decisions.Budget.Earn(head.Service)
 	var tried []state.BackendServerName
 	var last *state.Refusal
 	for attempts := 1; ; attempts++ {
-		server, refusal := h.pick(snapshot, route.Service, head, tried)
+		server, refusal := h.pick(snapshot, head, tried)
 		if refusal != nil && last != nil {
 			return nil, last
 		}
@@ -51,6 +50,9 @@
 				return nil, h.lastAnswer(head, answer.Refusal)
 			}
 		}
+		if answer.Refusal.Arrived {
+			head.Arrivals++
+		}
 		head.Suspect = decision.Suspect
 		last = h.lastAnswer(head, answer.Refusal)
 		h.observer.Retried()
@@ -59,15 +61,14 @@
 
 func (h *Handler) pick(
 	snapshot *state.Snapshot,
-	service state.ServiceName,
 	head call.Head,
 	tried []state.BackendServerName,
 ) (state.BackendServer, *state.Refusal) {
 	if !retry.Keyed(head) {
-		return h.decisions.Picker.Pick(time.Now(), snapshot, service, tried)
+		return h.decisions.Picker.Pick(time.Now(), snapshot, head.Service, tried)
 	}
 	key := keyowner.Key{Caller: head.Caller, Value: head.IdempotencyKey}
-	return h.decisions.Picker.PickKeyed(snapshot, service, key, tried)
+	return h.decisions.Picker.PickKeyed(snapshot, head.Service, key, tried)
 }
 
 func (h *Handler) observe(server state.BackendServerName, answer callstream.Answer) {
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/callerlimit"
 	"github.com/wasabiport/wasabiport/coordination/picking"
 	"github.com/wasabiport/wasabiport/coordination/retry"
@@ -40,6 +41,18 @@
 	Ready(now time.Time) (ready bool, waitsFor string)
 }
 
+// Front maps the HTTP of callers to calls and back. Its methods are called by
+// many threads.
+type Front interface {
+	// Read returns the request of a caller, or refuses it.
+	Read(r *http.Request) (call.Request, *state.Refusal)
+	// SetReplyHeader sets the fields of an answer beside those of the
+	// backend server.
+	SetReplyHeader(header http.Header, id state.CallID)
+	// WriteRefusal answers a request with a refusal.
+	WriteRefusal(w http.ResponseWriter, r *http.Request, id state.CallID, refusal *state.Refusal)
+}
+
 // Observer is told how calls end. Its methods are called by many threads.
 type Observer interface {
 	// Began counts a call that has come.
@@ -70,8 +83,6 @@
 	Self state.HostName
 	// MaxBodyBytes bounds the body of a request. No default.
 	MaxBodyBytes int64
-	// MaxHeaderFields bounds the header fields of a request. No default.
-	MaxHeaderFields int
 	// StallTimeout is how long a caller may take to read a part of its
 	// answer. A shorter time frees slots sooner and cuts slower callers off.
 	// No default.
@@ -89,6 +100,7 @@
 // Handler is the http.Handler for callers.
 type Handler struct {
 	config    Config
+	front     Front
 	decisions Decisions
 	snapshots *state.SnapshotStore
 	hosts     Hosts
@@ -103,6 +115,7 @@
 // host with the local guard, and all others over dialer.
 func NewHandler(
 	config Config,
+	front Front,
 	decisions Decisions,
 	snapshots *state.SnapshotStore,
 	hosts Hosts,
@@ -113,6 +126,7 @@
 ) *Handler {
 	return &Handler{
 		config:    config,
+		front:     front,
 		decisions: decisions,
 		snapshots: snapshots,
 		hosts:     hosts,
@@ -141,24 +155,29 @@
 	if refusal := h.serve(w, r, &ended); refusal != nil {
 		ended.Outcome = refusal.Outcome
 		ended.Reason = refusal.Reason
-		httpmap.WriteRefusal(w, ended.ID, refusal)
+		h.front.WriteRefusal(w, r, ended.ID, refusal)
 	}
 }
 
 // serve answers a call, or returns the refusal to answer it with.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, ended *Ended) *state.Refusal {
-	if refusal := httpmap.CheckRequest(r, h.config.MaxHeaderFields); refusal != nil {
+	request, refusal := h.front.Read(r)
+	if request.ID != "" {
+		ended.ID = request.ID
+	}
+	if refusal != nil {
 		return refusal
 	}
 	if ready, waitsFor := h.readiness.Ready(time.Now()); !ready {
 		return state.NotRun(state.RefusedNotReady, "the node is not ready: "+waitsFor)
 	}
 	snapshot := h.snapshots.Load()
-	route, ok := routing.Match(snapshot, httpmap.Host(r), r.URL.Path, r.Method)
+	route, ok := routing.Match(snapshot, request.Host, request.Path, request.Method)
 	if !ok {
 		return state.NotRun(state.RefusedNoRoute, "no route matches the request")
 	}
-	head := newHead(time.Now(), ended.ID, snapshot.Accepted(), route, r)
+	service := routing.Service(route, h.decisions.Picker.Draw())
+	head := newHead(time.Now(), ended.ID, snapshot.Accepted(), route, service, request)
 	ended.Route, ended.Class, ended.Caller = head.Route, head.Class, head.Caller
 	if refusal := h.decisions.Limits.Begin(time.Now(), head.Caller, route); refusal != nil {
 		return retry.Unasked(head, refusal)
@@ -174,7 +193,7 @@
 	}
 	defer body.release(controller)
 	head.Fingerprint = httpmap.Fingerprint(r, body.Prefix)
-	reply, refusal := h.dispatch(ctx, snapshot, route, head, &body.Body)
+	reply, refusal := h.dispatch(ctx, snapshot, head, &body.Body)
 	if refusal != nil {
 		return refusal
 	}
--- a/transport/entry/head.go
+++ b/transport/entry/head.go
@@ -1,12 +1,9 @@
 package entry
 
 import (
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
-	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -18,22 +15,25 @@
 	id state.CallID,
 	ticket state.TicketNumber,
 	route state.Route,
-	r *http.Request,
+	service state.ServiceName,
+	request call.Request,
 ) call.Head {
 	head := call.Head{
 		ID:             id,
 		Ticket:         ticket,
 		Route:          route.Name,
+		Service:        service,
 		Class:          route.Class,
-		Caller:         callerOf(r),
-		Deadline:       now.Add(timeoutOf(route, r)),
-		IdempotencyKey: r.Header.Get(httpmap.HeaderIdempotencyKey),
+		Caller:         request.Caller,
+		Deadline:       now.Add(timeoutOf(route, request)),
+		IdempotencyKey: request.IdempotencyKey,
 		Idempotent:     route.Idempotent,
-		Method:         r.Method,
-		Target:         r.URL.RequestURI(),
-		Authority:      r.Host,
-		Fields:         httpmap.RequestFields(r.Header),
-		ContentLength:  r.ContentLength,
+		MaxArrivals:    route.MaxAttempts,
+		Method:         request.Method,
+		Target:         request.Target,
+		Authority:      request.Authority,
+		Fields:         request.Fields,
+		ContentLength:  request.ContentLength,
 	}
 	if route.LatencyTarget > 0 {
 		head.Wanted = now.Add(route.LatencyTarget)
@@ -41,26 +41,15 @@
 	return head
 }
 
-// timeoutOf returns the timeout of the route, or what an earlier call has left
-// of its own when that is less.
-func timeoutOf(route state.Route, r *http.Request) time.Duration {
+// timeoutOf returns the timeout of the route, or what the caller has left when
+// that is less.
+func timeoutOf(route state.Route, request call.Request) time.Duration {
 	timeout := route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	if remaining, ok := httpmap.ParseTimeout(r.Header); ok {
-		return min(timeout, remaining)
+	if request.Remaining > 0 {
+		return min(timeout, request.Remaining)
 	}
 	return timeout
 }
-
-// callerOf returns the caller that the request names, or else its IP address.
-func callerOf(r *http.Request) state.CallerName {
-	if name := r.Header.Get(httpmap.HeaderCaller); name != "" {
-		return state.CallerName(name)
-	}
-	if address, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-		return state.CallerName(address)
-	}
-	return state.CallerName(r.RemoteAddr)
-}
--- a/transport/entry/stream.go
+++ b/transport/entry/stream.go
@@ -82,8 +82,7 @@
 	defer func() { _ = reply.Body.Close() }()
 	header := w.Header()
 	httpmap.SetFields(header, reply.Head.Fields)
-	header.Set(httpmap.HeaderOutcome, state.OutcomeDone.String())
-	header.Set(httpmap.HeaderCallID, string(reply.Head.ID))
+	h.front.SetReplyHeader(header, reply.Head.ID)
 	if reply.Head.ContentLength >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(reply.Head.ContentLength, 10))
 	}
--- a/transport/events/catalogue.go
+++ b/transport/events/catalogue.go
@@ -18,6 +18,8 @@
 		SourceRecovered{},
 		HostListChanged{},
 		SourceAnsweredOld{},
+		BackendServerRegistered{},
+		BackendServerUnregistered{},
 		PeerConnected{},
 		PeerDisconnected{},
 		PeerRefused{},
--- a/transport/events/distribution.go
+++ b/transport/events/distribution.go
@@ -77,3 +77,32 @@
 func (ParentReplaced) Kind() Kind {
 	return Kind{405, LevelInfo, "parent-replaced", "The parent was silent or out of reach, so another host passes tickets on to this node."}
 }
+
+// BackendServerRegistered is logged when a backend server has registered
+// itself, or has changed what it says of itself.
+type BackendServerRegistered struct {
+	Version       uint64                  `event:"version"`
+	BackendServer state.BackendServerName `event:"backend_server"`
+	Service       state.ServiceName       `event:"service"`
+	Address       string                  `event:"address"`
+	Zone          state.AvailabilityZone  `event:"zone"`
+	Draining      bool                    `event:"draining"`
+}
+
+// Kind returns the description of the event.
+func (BackendServerRegistered) Kind() Kind {
+	return Kind{311, LevelInfo, "backend-server-registered", "A backend server has registered itself or changed its registration."}
+}
+
+// BackendServerUnregistered is logged when the registration of a backend
+// server is gone.
+type BackendServerUnregistered struct {
+	Version       uint64                  `event:"version"`
+	BackendServer state.BackendServerName `event:"backend_server"`
+	Service       state.ServiceName       `event:"service"`
+}
+
+// Kind returns the description of the event.
+func (BackendServerUnregistered) Kind() Kind {
+	return Kind{312, LevelInfo, "backend-server-unregistered", "The registration of a backend server is gone: it gets no new calls."}
+}
--- a/transport/guard/delivery.go
+++ b/transport/guard/delivery.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 
@@ -31,6 +33,8 @@
 	phase atomic.Int32
 	// repeatable says that the call may be written to several connections.
 	repeatable bool
+	// conn is the connection that the call was given last.
+	conn atomic.Pointer[backendConn]
 	// beforeSend is called before the first byte is written.
 	beforeSend func()
 	cancel     context.CancelCauseFunc
@@ -43,11 +47,27 @@
 			d.cancel(errDeliveryEnded)
 		}
 		if conn, ok := info.Conn.(*backendConn); ok {
+			d.conn.Store(conn)
 			conn.take(d)
 		}
 	}}
 }
 
+// maxDiscardedBytes is how much of an answer that nobody gets is read, so that
+// its connection can be used again.
+const maxDiscardedBytes = 4 << 10
+
+// discard ends an answer that goes to nobody. A connection that is spoiled is
+// closed, as what follows on it can't be told from other answers.
+func (d *delivery) discard(response *http.Response, spoiled bool) {
+	if conn := d.conn.Load(); spoiled && conn != nil {
+		_ = conn.Close()
+	}
+	// What goes wrong here has no effect on a call: the connection is dropped.
+	_, _ = io.CopyN(io.Discard, response.Body, maxDiscardedBytes)
+	_ = response.Body.Close()
+}
+
 // end makes sure that no more connections are written to when none was yet.
 // It returns false when bytes of the call may have reached the backend server.
 func (d *delivery) end() bool {
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -18,6 +18,7 @@
 
 // gate is the guard's part for one backend server.
 type gate struct {
+	back      Back
 	admission *admission.Gate
 	server    state.BackendServer
 	service   state.Service
@@ -81,14 +82,14 @@
 // gate returns the gate of a call's backend server.
 func (g *Guard) gate(head call.Head) (*gate, *state.Refusal) {
 	snapshot := g.snapshots.Load()
-	if snapshot.Accepted() < head.Ticket {
+	server, ok := snapshot.BackendServer(head.BackendServer)
+	service, _ := snapshot.Service(server.Service)
+	if snapshot.Accepted() < head.Ticket && !service.SelfRegistered {
 		return nil, state.NotRun(state.RefusedBehind, "the guard has an older configuration than the entry node")
 	}
-	server, ok := snapshot.BackendServer(head.BackendServer)
 	if !ok || server.Host != g.host {
 		return nil, state.NotRun(state.RefusedNoBackendServer, "the backend server is not on this host")
 	}
-	service, _ := snapshot.Service(server.Service)
 	gate := g.configured(server, service)
 	if g.leaving.Load() {
 		// Leave may have missed a gate that is new. The call is not refused
@@ -128,6 +129,7 @@
 
 func (g *Guard) newGate(server state.BackendServer, service state.Service) *gate {
 	return &gate{
+		back:      g.back,
 		admission: admission.NewGate(server, service),
 		server:    server,
 		service:   service,
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 // has a gate, which is a shard with its own lock.
 type Guard struct {
 	host      state.HostName
+	back      Back
 	network   network.Network
 	snapshots *state.SnapshotStore
 	decisions Decisions
@@ -40,6 +42,15 @@
 	cancel context.CancelFunc
 }
 
+// Back maps calls to HTTP requests to backend servers, and their answers back.
+// Its methods are called by many threads.
+type Back interface {
+	// SetHeader sets the fields of a request that the system adds.
+	SetHeader(header http.Header, head call.Head, remaining time.Duration)
+	// Judge says what an answer means, from its status and header.
+	Judge(head call.Head, response *http.Response) call.Judgement
+}
+
 // Zone reaches the other guards of the availability zone.
 type Zone interface {
 	// TellZone tells them of requests that may crash backend servers. It
@@ -58,6 +69,7 @@
 // New returns a guard for the backend servers of a host.
 func New(
 	host state.HostName,
+	back Back,
 	snapshots *state.SnapshotStore,
 	decisions Decisions,
 	zone Zone,
@@ -67,6 +79,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Guard{
 		host:      host,
+		back:      back,
 		network:   network,
 		snapshots: snapshots,
 		decisions: decisions,
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -19,6 +19,7 @@
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
+	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/guard"
@@ -55,7 +56,7 @@
 		Suspects: quarantine.NewSuspects(quarantine.Config{}),
 		Owners:   keyowner.NewHistory(time.Hour),
 	}
-	return &rig{t: t, network: memory, guard: guard.New("host-0", snapshots, decisions, noZone{}, memory, logr.Discard())}
+	return &rig{t: t, network: memory, guard: guard.New("host-0", httpmap.Back{}, snapshots, decisions, noZone{}, memory, logr.Discard())}
 }
 
 // serve answers each connection to the backend server with handle.
--- a/transport/guard/reply.go
+++ b/transport/guard/reply.go
@@ -21,6 +21,7 @@
 func newReply(
 	id state.CallID,
 	response *http.Response,
+	shed bool,
 	cut func(),
 	release func(admission.Result),
 ) *callstream.Reply {
@@ -30,7 +31,7 @@
 		release:    release,
 		result:     admission.ResultBroken,
 	}
-	if httpmap.Shed(response.StatusCode, response.Header) {
+	if shed {
 		body.result = admission.ResultShed
 	}
 	return &callstream.Reply{
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -43,7 +43,7 @@
 ) (*callstream.Reply, *state.Refusal) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	delivery := &delivery{repeatable: head.Idempotent, cancel: cancel, beforeSend: beforeSend}
-	request, err := newRequest(httptrace.WithClientTrace(ctx, delivery.trace()), g.server, head, body)
+	request, err := g.newRequest(httptrace.WithClientTrace(ctx, delivery.trace()), head, body)
 	if err != nil {
 		cancel(err)
 		return nil, state.NotRun(state.RefusedBadRequest, "the request can't be passed on")
@@ -60,38 +60,42 @@
 	if response.StatusCode < http.StatusOK {
 		_ = response.Body.Close()
 		cancel(nil)
-		return nil, state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server changed the protocol")
+		refusal := state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server changed the protocol")
+		refusal.Arrived = true
+		return nil, refusal
+	}
+	judgement := g.back.Judge(head, response)
+	if judgement.Refusal != nil {
+		delivery.discard(response, judgement.Spoiled)
+		cancel(nil)
+		if judgement.Shed {
+			release(admission.ResultShed)
+		}
+		return nil, judgement.Refusal
 	}
 	cut := func() {
 		if ctx.Err() == nil {
 			g.crashed(head.ID)
 		}
 	}
-	return newReply(head.ID, response, cut, func(result admission.Result) {
+	return newReply(head.ID, response, judgement.Shed, cut, func(result admission.Result) {
 		cancel(nil)
 		release(result)
 	}), nil
 }
 
-func newRequest(
-	ctx context.Context,
-	server state.BackendServer,
-	head call.Head,
-	body io.Reader,
-) (*http.Request, error) {
+func (g *gate) newRequest(ctx context.Context, head call.Head, body io.Reader) (*http.Request, error) {
 	if head.ContentLength == 0 {
 		body = http.NoBody
 	}
-	request, err := http.NewRequestWithContext(ctx, head.Method, "http://"+server.Address+head.Target, body)
+	request, err := http.NewRequestWithContext(ctx, head.Method, "http://"+g.server.Address+head.Target, body)
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
 	request.Host = head.Authority
 	request.ContentLength = head.ContentLength
 	httpmap.SetFields(request.Header, head.Fields)
-	request.Header.Set(httpmap.HeaderCallID, string(head.ID))
-	request.Header.Set(httpmap.HeaderCaller, string(head.Caller))
-	request.Header.Set(httpmap.HeaderTimeout, httpmap.FormatTimeout(time.Until(head.Deadline)))
+	g.back.SetHeader(request.Header, head, time.Until(head.Deadline))
 	return request, nil
 }
 
@@ -102,8 +106,10 @@
 		Reason:  state.RefusedBackendServerFailed,
 		Outcome: state.OutcomeMayHaveRun,
 		Detail:  "the backend server failed while it had the call",
+		Arrived: true,
 	}
 	if notRun {
+		refusal.Arrived = false
 		refusal.Outcome = state.OutcomeNotRun
 		refusal.Detail = "the backend server can't be reached"
 	}
--- a/transport/platform/client.go
+++ b/transport/source/client.go
@@ -1,6 +1,6 @@
-// Package platform reads tickets and the host list from the platform's
+// Package source reads tickets and the host list from the platform's
 // configuration service, which can only be read and watched.
-package platform
+package source
 
 import (
 	"context"
--- a/transport/platform/client_test.go
+++ b/transport/source/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package source_test
 
 import (
 	"context"
@@ -14,12 +14,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabiport/wasabiport/transport/network"
-	"github.com/wasabiport/wasabiport/transport/platform"
+	"github.com/wasabiport/wasabiport/transport/source"
 )
 
 // serve runs a handler in place of the service, in a bubble with a virtual
 // clock.
-func serve(t *testing.T, handler http.HandlerFunc, use func(*testing.T, *platform.Client)) {
+func serve(t *testing.T, handler http.HandlerFunc, use func(*testing.T, *source.Client)) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := network.NewMemory()
 		listener, err := memory.Listen(t.Context(), "192.0.2.1:80")
@@ -33,7 +33,7 @@
 				return memory.Dial(ctx, address)
 			},
 		}
-		use(t, platform.NewClient("http://192.0.2.1:80", &http.Client{Transport: transport}))
+		use(t, source.NewClient("http://192.0.2.1:80", &http.Client{Transport: transport}))
 	})
 }
 
@@ -64,9 +64,9 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			serve(t, test.answer, func(t *testing.T, client *platform.Client) {
+			serve(t, test.answer, func(t *testing.T, client *source.Client) {
 				_, err := client.Tickets(t.Context(), 0, 0)
-				require.True(t, errors.Is(err, platform.ErrUnavailable))
+				require.True(t, errors.Is(err, source.ErrUnavailable))
 				require.ErrorContains(t, err, test.want)
 			})
 		})
@@ -78,9 +78,9 @@
 		w.Header().Set("Retry-After", "7")
 		http.Error(w, "", http.StatusTooManyRequests)
 	}
-	serve(t, answer, func(t *testing.T, client *platform.Client) {
+	serve(t, answer, func(t *testing.T, client *source.Client) {
 		_, err := client.Hosts(t.Context(), 0, 0)
-		var throttled *platform.ThrottledError
+		var throttled *source.ThrottledError
 		require.ErrorAs(t, err, &throttled)
 		require.Equal(t, 7*time.Second, throttled.RetryAfter())
 	})
--- a/wire.go
+++ b/wire.go
@@ -14,7 +14,6 @@
 	"github.com/wasabiport/wasabiport/transport/guard"
 	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/peering"
-	"github.com/wasabiport/wasabiport/transport/platform"
 )
 
 var peerProviders = wire.NewSet(
@@ -47,7 +46,6 @@
 	newCallerServer,
 	newNode,
 	controlloop.New,
-	wire.Bind(new(controlloop.Source), new(*platform.Client)),
 	wire.Bind(new(picking.HostPhases), new(*control.Plane)),
 	wire.Bind(new(entry.Hosts), new(*control.Plane)),
 	wire.Bind(new(entry.Readiness), new(*control.Plane)),
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -17,7 +17,6 @@
 	"github.com/wasabiport/wasabiport/transport/guard"
 	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/peering"
-	"github.com/wasabiport/wasabiport/transport/platform"
 )
 
 // Injectors from wire.go:
@@ -28,9 +27,9 @@
 	wasabiportIncarnation := newIncarnation()
 	decisions := newGuardDecisions(config, wasabiportIncarnation)
 	plane := newPlane(config, wasabiportIncarnation, snapshotStore, decisions)
-	client := newSource(config)
+	source := newSource(config)
 	logger := newLogger(config)
-	loop := controlloop.New(plane, client, logger)
+	loop := controlloop.New(plane, source, logger)
 	guard := newGuard(config, snapshotStore, decisions, loop, logger)
 	peeringConfig := newPeeringConfig(config, wasabiportIncarnation)
 	network := newNetwork(config)
@@ -50,7 +49,7 @@
 	}
 	pool := peering.NewPool(peeringConfig, network, wasabiportPeerSecurity, wasabiportPeerHandler, limiter, metrics)
 	picker := newPicker(config, plane)
-	entryDecisions := newDecisions(config, picker)
+	entryDecisions := newDecisions(config, picker, plane)
 	calls, err := newCallMetrics(registry, guard)
 	if err != nil {
 		return nil, err
@@ -87,5 +86,5 @@
 	newDecisions,
 	newEntry,
 	newCallerServer,
-	newNode, controlloop.New, wire.Bind(new(controlloop.Source), new(*platform.Client)), wire.Bind(new(picking.HostPhases), new(*control.Plane)), wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(guard.Zone), new(*controlloop.Loop)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(entry.Observer), new(*metrics.Calls)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
+	newNode, controlloop.New, wire.Bind(new(picking.HostPhases), new(*control.Plane)), wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(guard.Zone), new(*controlloop.Loop)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(entry.Observer), new(*metrics.Calls)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
 )
