Run a node on the users' platform through platform/

The whole path, thin: the settings file, the store's configuration and entries, the headers of requests and answers, and readiness become the product's types.

--- a/config.go
+++ b/config.go
@@ -41,6 +41,12 @@
 	// and learns of changes later. Default 1 s each.
 	TicketWatchPause   time.Duration
 	HostListWatchPause time.Duration
+	// SourceFallbackRate is the number of reads a second that all nodes that
+	// do not watch the platform may make together. Default 200.
+	SourceFallbackRate float64
+	// MaxSourceRetryInterval bounds the delay between reads of a platform that
+	// keeps failing. Default 30 s.
+	MaxSourceRetryInterval time.Duration
 	// Front maps the HTTP of callers, and Back that of backend servers. Default
 	// the system's own header names.
 	Front entry.Front
--- a/protocol/ticketfile/schema.go
+++ b/protocol/ticketfile/schema.go
@@ -2,35 +2,16 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/wasabiport/wasabiport/state"
 )
 
 // Defaults of the fields that a ticket may leave out.
 const (
-	defaultPathPrefix      = "/"
-	defaultWorth           = 1.0
-	defaultSlowStart       = 10 * time.Second
-	defaultRecordRetention = 10 * time.Minute
+	defaultPathPrefix = "/"
+	defaultWorth      = 1.0
 )
 
-// defaultFloors is the share of slots that each class keeps.
-var defaultFloors = [state.ClassCount]float64{
-	state.ClassCritical:   0.25,
-	state.ClassHigh:       0.15,
-	state.ClassNormal:     0.10,
-	state.ClassBackground: 0.05,
-}
-
-// defaultQueueLimits is the number of calls that may wait in each class.
-var defaultQueueLimits = [state.ClassCount]int{
-	state.ClassCritical:   64,
-	state.ClassHigh:       64,
-	state.ClassNormal:     32,
-	state.ClassBackground: 16,
-}
-
 // decodeTicket reads the whole document into ticket, except for its number,
 // which it returns.
 func decodeTicket(r *reader, ticket *state.Ticket) state.TicketNumber {
@@ -131,12 +112,7 @@
 }
 
 func decodeService(r *reader, path string) state.Service {
-	service := state.Service{
-		Floors:          defaultFloors,
-		QueueLimits:     defaultQueueLimits,
-		SlowStart:       defaultSlowStart,
-		RecordRetention: defaultRecordRetention,
-	}
+	service := state.DefaultService("")
 	r.object(
 		path,
 		field{"name", true, func(path string) { service.Name = decodeString[state.ServiceName](r, path) }},
--- a/providers.go
+++ b/providers.go
@@ -79,10 +79,13 @@
 		OfferInterval:       config.OfferInterval,
 		ExpectedHosts:       config.ExpectedHosts,
 		SourceRetryInterval: config.SourceRetryInterval,
+		SourceFallbackRate:  config.SourceFallbackRate,
 		WholeSource:         config.WholeSource,
-		ReadersPerZone:      config.ReadersPerZone,
-		TicketWatchPause:    config.TicketWatchPause,
-		HostListWatchPause:  config.HostListWatchPause,
+
+		MaxSourceRetryInterval: config.MaxSourceRetryInterval,
+		ReadersPerZone:         config.ReadersPerZone,
+		TicketWatchPause:       config.TicketWatchPause,
+		HostListWatchPause:     config.HostListWatchPause,
 	}
 	return control.NewPlane(settings, snapshots, newRandom(config, randomOfPlane))
 }
--- a/state/resources.go
+++ b/state/resources.go
@@ -32,8 +32,8 @@
 
 // Route says which calls go to which Service and how they are ranked.
 type Route struct {
-	Name    RouteName
-	Match   Match
+	Name  RouteName
+	Match Match
 	// Service takes all calls of the route, unless Split is set.
 	Service ServiceName
 	// Split divides the calls among several services. The share of a service
@@ -90,6 +90,18 @@
 	Connections int
 }
 
+// DefaultService returns the settings of a service that states none but its
+// name.
+func DefaultService(name ServiceName) Service {
+	return Service{
+		Name:            name,
+		Floors:          [ClassCount]float64{0.25, 0.15, 0.10, 0.05},
+		QueueLimits:     [ClassCount]int{64, 64, 32, 16},
+		SlowStart:       10 * time.Second,
+		RecordRetention: 10 * time.Minute,
+	}
+}
+
 // BackendServer is one process that answers calls of a Service.
 type BackendServer struct {
 	Name    BackendServerName
--- a/transport/events/distribution.go
+++ b/transport/events/distribution.go
@@ -106,3 +106,16 @@
 func (BackendServerUnregistered) Kind() Kind {
 	return Kind{312, LevelInfo, "backend-server-unregistered", "The registration of a backend server is gone: it gets no new calls."}
 }
+
+// SourceValueIgnored is logged when something that the platform publishes can't
+// be read. It is used for nothing; the rest holds.
+type SourceValueIgnored struct {
+	Key      string `event:"key"`
+	Revision uint64 `event:"revision"`
+	Error    error  `event:"error"`
+}
+
+// Kind returns the description of the event.
+func (SourceValueIgnored) Kind() Kind {
+	return Kind{305, LevelError, "source-value-ignored", "A value of the platform, or a part of it, can't be read and is used for nothing. The rest holds."}
+}
--- a/transport/events/node.go
+++ b/transport/events/node.go
@@ -62,3 +62,21 @@
 func (NodePaused) Kind() Kind {
 	return Kind{105, LevelError, "node-paused", "A timer fired late: the process was stopped or starved. The node checks what it believes before it goes on."}
 }
+
+// SettingsReloaded is logged when changed settings are in force.
+type SettingsReloaded struct{}
+
+// Kind returns the description of the event.
+func (SettingsReloaded) Kind() Kind {
+	return Kind{106, LevelInfo, "settings-reloaded", "The settings were read again; those that may change while the node runs are in force."}
+}
+
+// SettingsRejected is logged when changed settings can't be used.
+type SettingsRejected struct {
+	Error error `event:"error"`
+}
+
+// Kind returns the description of the event.
+func (SettingsRejected) Kind() Kind {
+	return Kind{107, LevelError, "settings-rejected", "The changed settings can't be used; the ones before stay in force."}
+}
--- a/transport/network/network.go
+++ b/transport/network/network.go
@@ -26,14 +26,14 @@
 
 // Dial opens a TCP connection.
 func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(), Control: setUserTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	return conn, errors.Wrapf(err, "dial %s", address)
 }
 
 // Listen accepts TCP connections.
 func (TCP) Listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
+	config := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
 	listener, err := config.Listen(ctx, "tcp", address)
 	return listener, errors.Wrapf(err, "listen on %s", address)
 }
