Answer every call before a leaving node ends

Calls that come to a leaving node now have its end as deadline, and those that still run then are refused. Besides, entry and guard had the same deadline, so that the entry said that a call may have run of which the guard knew that it had not; the entry now waits 50 ms longer.

--- a/node.go
+++ b/node.go
@@ -154,7 +154,7 @@
 	n.leaving.Store(true)
 	n.loop.Leave()
 	n.guard.Leave()
-	n.entry.Leave()
+	n.entry.Leave(ctx)
 	// What can't be announced in time is found out by silence.
 	_ = n.pool.Flush(ctx)
 	n.awaitLeaveDelay(ctx)
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -16,7 +16,7 @@
 // dispatch asks guards one after the other until one answers, or the refusal
 // of one goes to the caller.
 func (h *Handler) dispatch(
-	ctx context.Context,
+	waits waits,
 	snapshot *state.Snapshot,
 	head call.Head,
 	body *callstream.Body,
@@ -33,7 +33,7 @@
 			return nil, retry.Unasked(head, refusal)
 		}
 		head.BackendServer = server.Name
-		answer := h.ask(ctx, server, head, body)
+		answer := h.ask(waits, server, head, body)
 		h.observe(server.Name, answer)
 		if answer.Reply != nil {
 			return answer.Reply, nil
@@ -46,7 +46,7 @@
 		case retry.ActionOtherServer:
 			tried = append(tried, server.Name)
 		case retry.ActionSameServer:
-			if !wait(ctx, decision.Delay) {
+			if !wait(waits.local, decision.Delay) {
 				return nil, h.lastAnswer(head, answer.Refusal)
 			}
 		}
@@ -102,23 +102,23 @@
 
 // ask sends a call to the guard of one backend server.
 func (h *Handler) ask(
-	ctx context.Context,
+	waits waits,
 	server state.BackendServer,
 	head call.Head,
 	body *callstream.Body,
 ) callstream.Answer {
 	if server.Host == h.config.Self {
-		return h.askLocal(ctx, head, body)
+		return h.askLocal(waits.local, head, body)
 	}
 	host, ok := h.hosts.Host(server.Host)
 	if !ok {
 		return callstream.Answer{Refusal: state.NotRun(state.RefusedUnreachable, "the host of the backend server is not known")}
 	}
-	stream, err := h.dialer.OpenCall(ctx, host, handshake.LaneOf(head.Class))
+	stream, err := h.dialer.OpenCall(waits.local, host, handshake.LaneOf(head.Class))
 	if err != nil {
 		return callstream.Answer{Refusal: state.NotRun(state.RefusedUnreachable, "the guard can't be reached")}
 	}
-	return callstream.Do(ctx, stream, head, body)
+	return callstream.Do(waits.remote, stream, head, body)
 }
 
 func (h *Handler) askLocal(ctx context.Context, head call.Head, body *callstream.Body) callstream.Answer {
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -108,7 +108,12 @@
 	dialer    Dialer
 	local     callstream.Handler
 	observer  Observer
-	leaving   atomic.Bool
+	// leaveBy is nil until Leave, and then the time at which all calls have to
+	// have their answers.
+	leaveBy atomic.Pointer[time.Time]
+	// ended ends with the time to answer the calls of a leaving node.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // NewHandler returns a handler that runs calls for backend servers on its own
@@ -124,7 +129,10 @@
 	local callstream.Handler,
 	observer Observer,
 ) *Handler {
+	ended, end := context.WithCancel(context.Background())
 	return &Handler{
+		ended:     ended,
+		end:       end,
 		config:    config,
 		front:     front,
 		decisions: decisions,
@@ -137,12 +145,48 @@
 	}
 }
 
-// Leave makes every answer from now on the last one of its connection.
-func (h *Handler) Leave() { h.leaving.Store(true) }
+// answerMargin is the time that a leaving node has to write its last answers.
+const answerMargin = 500 * time.Millisecond
+
+// answerGrace is how much longer an entry node waits than the guard, so that
+// the guard's answer, which tells more, comes first.
+const answerGrace = 50 * time.Millisecond
+
+// Leave makes every answer from now on the last one of its connection. Calls
+// that have none shortly before the deadline of ctx are refused; without a
+// deadline they go on.
+func (h *Handler) Leave(ctx context.Context) {
+	var by time.Time
+	if deadline, bounded := ctx.Deadline(); bounded {
+		by = deadline.Add(-answerMargin)
+	}
+	if h.leaveBy.Swap(&by) == nil && !by.IsZero() {
+		time.AfterFunc(time.Until(by), h.end)
+	}
+}
+
+// bounded returns the deadline of a call that has come to a node which may be
+// leaving.
+func (h *Handler) bounded(deadline time.Time) time.Time {
+	by := h.leaveBy.Load()
+	if by != nil && !by.IsZero() && by.Before(deadline) {
+		return *by
+	}
+	return deadline
+}
+
+// waits are how long the parts of a call are waited for.
+type waits struct {
+	// local bounds the work of the guard on this node.
+	local context.Context
+	// remote bounds the wait for another node, whose guard has the same time
+	// as the local one.
+	remote context.Context
+}
 
 // ServeHTTP serves one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.leaving.Load() && r.ProtoMajor == 1 {
+	if h.leaveBy.Load() != nil && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
 	started := time.Now()
@@ -184,8 +228,12 @@
 	}
 	defer h.decisions.Limits.End(head.Caller)
 
-	ctx, cancel := context.WithDeadline(r.Context(), head.Deadline)
+	head.Deadline = h.bounded(head.Deadline)
+	remote, cancel := context.WithDeadline(r.Context(), head.Deadline.Add(answerGrace))
 	defer cancel()
+	defer context.AfterFunc(h.ended, cancel)()
+	local, cancelLocal := context.WithDeadline(remote, head.Deadline)
+	defer cancelLocal()
 	controller := http.NewResponseController(w)
 	body, refusal := h.readBody(controller, r, head.Deadline)
 	if refusal != nil {
@@ -193,7 +241,7 @@
 	}
 	defer body.release(controller)
 	head.Fingerprint = httpmap.Fingerprint(r, body.Prefix)
-	reply, refusal := h.dispatch(ctx, snapshot, head, &body.Body)
+	reply, refusal := h.dispatch(waits{local: local, remote: remote}, snapshot, head, &body.Body)
 	if refusal != nil {
 		return refusal
 	}
