Keep a session that was opened in the other side's place

A peer that this node has dialed in its place now stays wanted while the link is drawn. Test: links_test.go fails before and passes after.

--- a/coordination/dissemination/links.go
+++ b/coordination/dissemination/links.go
@@ -52,8 +52,10 @@
 	topology *Topology
 	parents  [TreeCount]state.HostName
 	// seenAt is when each drawn link was last alive, or when it was drawn.
-	seenAt   map[state.HostName]time.Time
-	avoided  map[state.HostName]avoidance
+	seenAt  map[state.HostName]time.Time
+	avoided map[state.HostName]avoidance
+	// adopted holds the peers that this node dials in place of them.
+	adopted  map[state.HostName]bool
 	repair   []state.HostName
 	repairAt time.Time
 }
@@ -72,6 +74,7 @@
 		topology: &Topology{},
 		seenAt:   make(map[state.HostName]time.Time),
 		avoided:  make(map[state.HostName]avoidance),
+		adopted:  make(map[state.HostName]bool),
 	}
 }
 
@@ -110,6 +113,11 @@
 		drawn[name] = at
 	}
 	l.seenAt = drawn
+	for name := range l.adopted {
+		if _, ok := drawn[name]; !ok {
+			delete(l.adopted, name)
+		}
+	}
 }
 
 func (l *Links) drawn() []state.HostName {
@@ -246,12 +254,12 @@
 	defer l.mu.Unlock()
 	wanted := slices.Concat(l.parents[:], l.repair)
 	for _, name := range l.topology.Roots {
-		if self < name || l.isOverdue(now, name, sessions[name]) {
+		if self < name || l.adopts(now, name, sessions[name]) {
 			wanted = append(wanted, name)
 		}
 	}
 	for _, name := range l.topology.Children {
-		if l.isOverdue(now, name, sessions[name]) {
+		if l.adopts(now, name, sessions[name]) {
 			wanted = append(wanted, name)
 		}
 	}
@@ -260,6 +268,16 @@
 	return slices.DeleteFunc(wanted, func(name state.HostName) bool { return name == "" || name == self })
 }
 
+// adopts reports whether this node keeps a session that the other side was to
+// open and did not. It goes on doing so while the link is drawn: a session that
+// it gave up as soon as it stood would be missing again at once.
+func (l *Links) adopts(now time.Time, name state.HostName, session Session) bool {
+	if l.isOverdue(now, name, session) {
+		l.adopted[name] = true
+	}
+	return l.adopted[name]
+}
+
 // isOverdue reports whether the other side has not opened the session in
 // time.
 func (l *Links) isOverdue(now time.Time, name state.HostName, session Session) bool {
--- /dev/null
+++ b/coordination/dissemination/links_test.go
@@ -0,0 +1,32 @@
+package dissemination_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/dissemination"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// TestOverduePeerStaysWantedOnceItIsConnected has a node dial a root that was
+// to dial it. The session must not be given up as soon as it stands.
+func TestOverduePeerStaysWantedOnceItIsConnected(t *testing.T) {
+	start := time.Unix(1000, 0)
+	self := state.Host{Name: "b", Zone: "north"}
+	other := state.Host{Name: "a", Zone: "south"}
+	links := dissemination.NewLinks(dissemination.Config{
+		SilenceTimeout: 4 * time.Second,
+		PassiveGrace:   500 * time.Millisecond,
+		RepairInterval: time.Minute,
+	}, rand.New(rand.NewPCG(1, 2)))
+	links.Redraw(start, dissemination.Draw(self, []state.Host{other}))
+	require.Empty(t, links.Wanted(start, self.Name, nil), "the host with the smaller name dials first")
+
+	late := start.Add(time.Second)
+	require.Equal(t, []state.HostName{"a"}, links.Wanted(late, self.Name, nil))
+	connected := map[state.HostName]dissemination.Session{"a": {Connected: true, HeardAt: late}}
+	require.Equal(t, []state.HostName{"a"}, links.Wanted(late, self.Name, connected))
+}
