--- a/config.go
+++ b/config.go
@@ -51,6 +51,10 @@
 	// the system's own header names.
 	Front entry.Front
 	Back  guard.Back
+	// ConfirmCrashes says that a backend server that has crashed refuses
+	// connections for a while. The guard then takes a lost connection for a
+	// crash only when the next one is refused. Default false.
+	ConfirmCrashes bool
 	// RetryShare is the number of retries that each call earns, and RetrySlack
 	// the number that all nodes together may save up for a service. With
 	// RetrySlack, only retries after an attempt that has reached a backend
--- a/providers.go
+++ b/providers.go
@@ -114,6 +114,8 @@
 		Records:  callrecord.New(settings),
 		Suspects: quarantine.NewSuspects(quarantine.Config{}),
 		Owners:   owners,
+
+		ConfirmCrashes: config.ConfirmCrashes,
 	}
 }
 
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -25,6 +25,8 @@
 	transport *http.Transport
 	suspects  *quarantine.Suspects
 	inFlight  *inFlight
+	// probe tells crashes from lost connections; nil takes both for crashes.
+	probe *crashProbe
 	zone      Zone
 	logger    logr.Logger
 }
@@ -128,7 +130,12 @@
 }
 
 func (g *Guard) newGate(server state.BackendServer, service state.Service) *gate {
+	var probe *crashProbe
+	if g.decisions.ConfirmCrashes {
+		probe = &crashProbe{ctx: g.ctx, network: g.network}
+	}
 	return &gate{
+		probe:     probe,
 		back:      g.back,
 		admission: admission.NewGate(server, service),
 		server:    server,
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -64,6 +64,9 @@
 	Suspects *quarantine.Suspects
 	// Owners is what Records knows the owners of keys from.
 	Owners *keyowner.History
+	// ConfirmCrashes says that a backend server that has crashed refuses
+	// connections for a while, so that a lost connection alone is no crash.
+	ConfirmCrashes bool
 }
 
 // New returns a guard for the backend servers of a host.
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -38,6 +38,8 @@
 	t       *testing.T
 	network *network.Memory
 	guard   *guard.Guard
+
+	snapshots *state.SnapshotStore
 }
 
 func newRig(t *testing.T, connections int) *rig {
@@ -56,7 +58,7 @@
 		Suspects: quarantine.NewSuspects(quarantine.Config{}),
 		Owners:   keyowner.NewHistory(time.Hour),
 	}
-	return &rig{t: t, network: memory, guard: guard.New("host-0", httpmap.Back{}, snapshots, decisions, noZone{}, memory, logr.Discard())}
+	return &rig{t: t, snapshots: snapshots, network: memory, guard: guard.New("host-0", httpmap.Back{}, snapshots, decisions, noZone{}, memory, logr.Discard())}
 }
 
 // serve answers each connection to the backend server with handle.
@@ -303,3 +305,40 @@
 		require.EqualValues(t, 2, received.Load())
 	})
 }
+
+// TestQueuedCallsDoNotReachABackendServerThatIsGone lets calls wait for a slot
+// while the backend server goes from the configuration.
+func TestQueuedCallsDoNotReachABackendServerThatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newRig(t, 100)
+		var received atomic.Int32
+		rig.serve(answerSlowly(&received))
+		go rig.guard.Watch()
+		defer rig.guard.Shutdown()
+		const slots, calls = 6, 8
+		refusals := make(chan *state.Refusal, calls)
+		for range calls {
+			go func() {
+				reply, refusal := rig.do(http.MethodGet, "")
+				if refusal == nil {
+					_, _ = io.Copy(io.Discard, reply.Body)
+					_ = reply.Body.Close()
+				}
+				refusals <- refusal
+			}()
+		}
+		synctest.Wait()
+		require.True(t, rig.snapshots.Swap(state.NewSnapshotBuilder(nil).Build(2, 2)))
+		synctest.Wait()
+		require.Len(t, refusals, calls-slots, "calls that wait are refused at once")
+		for range calls - slots {
+			refusal := <-refusals
+			require.Equal(t, state.RefusedDraining, refusal.Reason)
+			require.Equal(t, state.OutcomeNotRun, refusal.Outcome)
+		}
+		for range slots {
+			require.Nil(t, <-refusals, "calls that run finish")
+		}
+		require.Equal(t, int32(slots), received.Load())
+	})
+}
--- a/transport/guard/inflight.go
+++ b/transport/guard/inflight.go
@@ -1,6 +1,8 @@
 package guard
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/wasabiport/wasabiport/state"
@@ -35,10 +37,21 @@
 	if _, counts := f.calls[id]; !counts {
 		return nil
 	}
-	fingerprints := make([]state.Fingerprint, 0, len(f.calls))
-	for _, fingerprint := range f.calls {
-		fingerprints = append(fingerprints, fingerprint)
-	}
+	fingerprints := slices.Collect(maps.Values(f.calls))
 	clear(f.calls)
 	return fingerprints
 }
+
+// all returns the fingerprints of the calls in flight.
+func (f *inFlight) all() []state.Fingerprint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Values(f.calls))
+}
+
+// clear forgets the calls in flight, which have all broken together.
+func (f *inFlight) clear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.calls)
+}
--- a/transport/guard/suspects.go
+++ b/transport/guard/suspects.go
@@ -1,6 +1,8 @@
 package guard
 
 import (
+	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/wasabiport/wasabiport/coordination/admission"
@@ -8,6 +10,7 @@
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/events"
+	"github.com/wasabiport/wasabiport/transport/network"
 )
 
 // request asks for a slot, for a suspect one that it has alone.
@@ -38,7 +41,24 @@
 
 // crashed notes that the backend server broke off while it had a call.
 func (g *gate) crashed(id state.CallID) {
-	fingerprints := g.inFlight.broken(id)
+	if g.probe == nil {
+		g.suspect(g.inFlight.broken(id))
+		return
+	}
+	if candidates := g.inFlight.all(); g.probe.begin() {
+		go func() {
+			defer g.probe.end()
+			if g.probe.refused(g.server.Address) {
+				g.inFlight.clear()
+				g.suspect(candidates)
+			}
+		}()
+	}
+}
+
+// suspect tells the zone of the requests that a backend server had when it
+// crashed.
+func (g *gate) suspect(fingerprints []state.Fingerprint) {
 	if len(fingerprints) == 0 {
 		return
 	}
@@ -51,3 +71,32 @@
 		}
 	}
 }
+
+// probeTimeout is how long a backend server may take to accept the connection
+// that shows that it has not crashed.
+const probeTimeout = 500 * time.Millisecond
+
+// crashProbe tells a backend server that has crashed from one that has lost a
+// connection, by whether it accepts another.
+type crashProbe struct {
+	ctx     context.Context
+	network network.Network
+	running atomic.Bool
+}
+
+// begin reports whether a probe may start: one runs at a time.
+func (p *crashProbe) begin() bool { return p.running.CompareAndSwap(false, true) }
+
+func (p *crashProbe) end() { p.running.Store(false) }
+
+// refused reports whether the backend server accepts no connection.
+func (p *crashProbe) refused(address string) bool {
+	ctx, cancel := context.WithTimeout(p.ctx, probeTimeout)
+	defer cancel()
+	conn, err := p.network.Dial(ctx, address)
+	if err != nil {
+		return p.ctx.Err() == nil
+	}
+	_ = conn.Close()
+	return false
+}
