Hold short answers until they are whole, and log calls that did not go well

Answers up to 64 KiB are now read whole before the entry node gets them. A retry after a failure is no longer a suspect that runs alone where guards confirm crashes themselves.

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -33,6 +33,9 @@
 	BaseDelay time.Duration
 	// MaxDelay bounds every delay. Default 1 second.
 	MaxDelay time.Duration
+	// CrashesConfirmed says that guards find out themselves which failures are
+	// crashes, so that a retry after a failure is no suspect. Default false.
+	CrashesConfirmed bool
 	// ArrivalsOnly says that an attempt draws on the budget only when an
 	// earlier one has reached a backend server. A refusal of a guard then costs
 	// nothing. Default false.
@@ -108,7 +111,8 @@
 	if !now.Add(delay).Before(head.Deadline) || !p.mayRepeat(head) {
 		return answer(head, refusal)
 	}
-	suspect := head.Suspect || refusal.Reason == state.RefusedBackendServerFailed
+	failed := refusal.Reason == state.RefusedBackendServerFailed && !p.config.CrashesConfirmed
+	suspect := head.Suspect || failed
 	return Decision{Action: action, Delay: delay, Suspect: suspect}
 }
 
--- a/node.go
+++ b/node.go
@@ -37,6 +37,9 @@
 // readHeaderTimeout bounds the time in which a caller sends its headers.
 const readHeaderTimeout = 5 * time.Second
 
+// flushTimeout bounds the time in which a leaving node tells its peers.
+const flushTimeout = 300 * time.Millisecond
+
 // Node is one node of the fleet.
 type Node struct {
 	config    Config
@@ -155,8 +158,10 @@
 	n.loop.Leave()
 	n.guard.Leave()
 	n.entry.Leave(ctx)
+	flushCtx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
 	// What can't be announced in time is found out by silence.
-	_ = n.pool.Flush(ctx)
+	_ = n.pool.Flush(flushCtx)
 	n.awaitLeaveDelay(ctx)
 	err := n.callers.Shutdown(ctx)
 	err = errors.CombineErrors(err, n.guard.AwaitDrained(ctx))
--- a/providers.go
+++ b/providers.go
@@ -19,6 +19,7 @@
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/calllog"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/entry"
@@ -133,11 +134,15 @@
 	return guard.New(config.Self.Name, back, snapshots, decisions, zone, config.Network, logger)
 }
 
-func newCallMetrics(registry *prometheus.Registry, guard *guard.Guard) (*metrics.Calls, error) {
+func newCallObserver(registry *prometheus.Registry, guard *guard.Guard, logger logr.Logger) (*calllog.Observer, error) {
 	if err := metrics.RegisterGates(registry, guard); err != nil {
 		return nil, err
 	}
-	return metrics.NewCalls(registry)
+	calls, err := metrics.NewCalls(registry)
+	if err != nil {
+		return nil, err
+	}
+	return calllog.New(calls, logger), nil
 }
 
 func newDecisions(config Config, picker *picking.Picker, plane *control.Plane) entry.Decisions {
@@ -146,9 +151,10 @@
 		settings.Nodes = plane.HostCount
 	}
 	budget := retry.NewBudget(settings)
+	policy := retry.Config{ArrivalsOnly: config.RetrySlack > 0, CrashesConfirmed: config.ConfirmCrashes}
 	return entry.Decisions{
 		Picker:  picker,
-		Retries: retry.NewPolicy(retry.Config{ArrivalsOnly: config.RetrySlack > 0}, budget, newRandom(config, randomOfRetries)),
+		Retries: retry.NewPolicy(policy, budget, newRandom(config, randomOfRetries)),
 		Budget:  budget,
 		Limits:  callerlimit.New(callerlimit.Config{}),
 	}
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -20,6 +20,7 @@
 	snapshot *state.Snapshot,
 	head call.Head,
 	body *callstream.Body,
+	ended *Ended,
 ) (*callstream.Reply, *state.Refusal) {
 	h.decisions.Budget.Earn(head.Service)
 	var tried []state.BackendServerName
@@ -33,7 +34,13 @@
 			return nil, retry.Unasked(head, refusal)
 		}
 		head.BackendServer = server.Name
+		asked := time.Now()
 		answer := h.ask(waits, server, head, body)
+		ended.Attempts = append(ended.Attempts, Attempt{
+			BackendServer: server.Name,
+			Took:          time.Since(asked),
+			Refusal:       answer.Refusal,
+		})
 		h.observe(server.Name, answer)
 		if answer.Reply != nil {
 			return answer.Reply, nil
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -71,12 +71,25 @@
 	Caller  state.CallerName
 	Took    time.Duration
 	Outcome state.Outcome
-	// Reason is 0 when the call was answered.
+	// Reason is 0 when the call was answered. Detail says more.
 	Reason state.RefusalReason
+	Detail string
+	// Ticket is the number of the configuration that the call went by.
+	Ticket state.TicketNumber
+	// Attempts are what became of the attempts, in order.
+	Attempts []Attempt
 	// Cut says that the answer could not be given whole.
 	Cut bool
 }
 
+// Attempt describes one attempt of a call at a backend server.
+type Attempt struct {
+	BackendServer state.BackendServerName
+	Took          time.Duration
+	// Refusal is nil when the attempt was answered.
+	Refusal *state.Refusal
+}
+
 // Config holds the settings of a Handler.
 type Config struct {
 	// Self is the host of this node.
@@ -199,6 +212,7 @@
 	if refusal := h.serve(w, r, &ended); refusal != nil {
 		ended.Outcome = refusal.Outcome
 		ended.Reason = refusal.Reason
+		ended.Detail = refusal.Detail
 		h.front.WriteRefusal(w, r, ended.ID, refusal)
 	}
 }
@@ -222,7 +236,7 @@
 	}
 	service := routing.Service(route, h.decisions.Picker.Draw())
 	head := newHead(time.Now(), ended.ID, snapshot.Accepted(), route, service, request)
-	ended.Route, ended.Class, ended.Caller = head.Route, head.Class, head.Caller
+	ended.Route, ended.Class, ended.Caller, ended.Ticket = head.Route, head.Class, head.Caller, head.Ticket
 	if refusal := h.decisions.Limits.Begin(time.Now(), head.Caller, route); refusal != nil {
 		return retry.Unasked(head, refusal)
 	}
@@ -241,7 +255,7 @@
 	}
 	defer body.release(controller)
 	head.Fingerprint = httpmap.Fingerprint(r, body.Prefix)
-	reply, refusal := h.dispatch(waits{local: local, remote: remote}, snapshot, head, &body.Body)
+	reply, refusal := h.dispatch(waits{local: local, remote: remote}, snapshot, head, &body.Body, ended)
 	if refusal != nil {
 		return refusal
 	}
--- /dev/null
+++ b/transport/events/call.go
@@ -0,0 +1,30 @@
+package events
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// CallEnded is logged for a call that did not simply go well.
+type CallEnded struct {
+	Call    state.CallID        `event:"call"`
+	Route   state.RouteName     `event:"route"`
+	Class   state.PriorityClass `event:"class"`
+	Ticket  state.TicketNumber  `event:"ticket"`
+	Took    time.Duration       `event:"took"`
+	Outcome string              `event:"outcome"`
+	Reason  string              `event:"reason"`
+	Detail  string              `event:"detail"`
+	// Attempts names each backend server that was asked, how long it took and
+	// what came of it.
+	Attempts string `event:"attempts"`
+	// LeftOut is the number of such lines that were not written before this
+	// one.
+	LeftOut int64 `event:"left_out"`
+}
+
+// Kind returns the description of the event.
+func (CallEnded) Kind() Kind {
+	return Kind{510, LevelInfo, "call-ended", "A call was refused, failed, was cut or took several attempts. At most 20 lines a second; left_out counts the others."}
+}
--- a/transport/events/catalogue.go
+++ b/transport/events/catalogue.go
@@ -32,6 +32,7 @@
 		HandshakeFailed{},
 		BackendServerCrashed{},
 		RequestQuarantined{},
+		CallEnded{},
 		KeysReloaded{},
 		KeysRejected{},
 		KeysExpire{},
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -26,9 +26,9 @@
 	suspects  *quarantine.Suspects
 	inFlight  *inFlight
 	// probe tells crashes from lost connections; nil takes both for crashes.
-	probe *crashProbe
-	zone      Zone
-	logger    logr.Logger
+	probe  *crashProbe
+	zone   Zone
+	logger logr.Logger
 }
 
 // handle runs a call once it has a slot. The call gives up its place in the
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -342,3 +342,22 @@
 		require.Equal(t, int32(slots), received.Load())
 	})
 }
+
+// TestCutShortAnswerIsAFailureAndNoAnswer has the backend server break off a
+// short answer: nothing of it may look like an answer to the entry node.
+func TestCutShortAnswerIsAFailureAndNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newRig(t, 100)
+		defer rig.guard.Shutdown()
+		rig.serve(func(conn net.Conn) {
+			defer func() { _ = conn.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbo")
+			}
+		})
+		reply, refusal := rig.do(http.MethodGet, "")
+		require.Nil(t, reply)
+		require.Equal(t, state.OutcomeMayHaveRun, refusal.Outcome)
+		require.True(t, refusal.Arrived)
+	})
+}
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -78,10 +79,38 @@
 			g.crashed(head.ID)
 		}
 	}
-	return newReply(head.ID, response, judgement.Shed, cut, func(result admission.Result) {
+	reply := newReply(head.ID, response, judgement.Shed, cut, func(result admission.Result) {
 		cancel(nil)
 		release(result)
-	}), nil
+	})
+	return held(ctx, reply)
+}
+
+// maxHeldBytes is the length of answers that are read whole before the entry
+// node gets any of them, so that a call whose answer is cut can be sent again.
+const maxHeldBytes = 64 << 10
+
+// heldBody is an answer that has been read whole. Closing it gives back the
+// slot: until then the call counts as running.
+type heldBody struct {
+	io.Reader
+	io.Closer
+}
+
+// held reads a short answer whole.
+func held(ctx context.Context, reply *callstream.Reply) (*callstream.Reply, *state.Refusal) {
+	if length := reply.Head.ContentLength; length < 0 || length > maxHeldBytes {
+		return reply, nil
+	}
+	body, err := io.ReadAll(reply.Body)
+	if err != nil {
+		refusal := failure(ctx, false)
+		// The error of a body that was cut says all there is to say.
+		_ = reply.Body.Close()
+		return nil, refusal
+	}
+	reply.Body = heldBody{Reader: bytes.NewReader(body), Closer: reply.Body}
+	return reply, nil
 }
 
 func (g *gate) newRequest(ctx context.Context, head call.Head, body io.Reader) (*http.Request, error) {
--- a/wire.go
+++ b/wire.go
@@ -8,11 +8,11 @@
 
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/coordination/picking"
+	"github.com/wasabiport/wasabiport/transport/calllog"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/guard"
-	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/peering"
 )
 
@@ -40,7 +40,7 @@
 	newGuardDecisions,
 	newLogger,
 	newGuard,
-	newCallMetrics,
+	newCallObserver,
 	newDecisions,
 	newEntry,
 	newCallerServer,
@@ -51,7 +51,7 @@
 	wire.Bind(new(entry.Readiness), new(*control.Plane)),
 	wire.Bind(new(guard.Zone), new(*controlloop.Loop)),
 	wire.Bind(new(entry.Dialer), new(*peering.Pool)),
-	wire.Bind(new(entry.Observer), new(*metrics.Calls)),
+	wire.Bind(new(entry.Observer), new(*calllog.Observer)),
 	wire.Bind(new(callstream.Handler), new(*guard.Guard)),
 )
 
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -11,11 +11,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/coordination/picking"
+	"github.com/wasabiport/wasabiport/transport/calllog"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/guard"
-	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/peering"
 )
 
@@ -50,11 +50,11 @@
 	pool := peering.NewPool(peeringConfig, network, wasabiportPeerSecurity, wasabiportPeerHandler, limiter, metrics)
 	picker := newPicker(config, plane)
 	entryDecisions := newDecisions(config, picker, plane)
-	calls, err := newCallMetrics(registry, guard)
+	observer, err := newCallObserver(registry, guard, logger)
 	if err != nil {
 		return nil, err
 	}
-	handler := newEntry(config, entryDecisions, snapshotStore, plane, plane, pool, guard, calls)
+	handler := newEntry(config, entryDecisions, snapshotStore, plane, plane, pool, guard, observer)
 	server := newCallerServer(config, handler)
 	node, err := newNode(config, snapshotStore, plane, guard, loop, pool, wasabiportPeerSecurity, handler, server, registry)
 	if err != nil {
@@ -82,9 +82,9 @@
 	newGuardDecisions,
 	newLogger,
 	newGuard,
-	newCallMetrics,
+	newCallObserver,
 	newDecisions,
 	newEntry,
 	newCallerServer,
-	newNode, controlloop.New, wire.Bind(new(picking.HostPhases), new(*control.Plane)), wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(guard.Zone), new(*controlloop.Loop)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(entry.Observer), new(*metrics.Calls)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
+	newNode, controlloop.New, wire.Bind(new(picking.HostPhases), new(*control.Plane)), wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(guard.Zone), new(*controlloop.Loop)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(entry.Observer), new(*calllog.Observer)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
 )
