--- a/coordination/admission/grant.go
+++ b/coordination/admission/grant.go
@@ -78,7 +78,7 @@
 // the class is overloaded, it refuses those that waited for too long.
 func (g *Gate) dequeue(now time.Time, class state.PriorityClass) *Pass {
 	queue := g.queues[class]
-	service := g.times[class].nearlyAll()
+	service := g.times[class].most()
 	overloaded := g.overloaded(now, class)
 	for queue.size > 0 {
 		pass := queue.pop()
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -35,7 +35,11 @@
 	case g.canRunNow(now, pass):
 		return nil
 	}
-	pass.limitWait(g.times[pass.class].nearlyAll(), g.overloaded(now, pass.class))
+	if g.overloaded(now, pass.class) {
+		pass.limitWait(g.times[pass.class].most(), true)
+	} else {
+		pass.limitWait(g.times[pass.class].nearlyAll(), false)
+	}
 	if !now.Add(g.estimateWait(now, pass)).Before(pass.startBy) {
 		return notRunTooLate()
 	}
--- a/coordination/admission/servicetime.go
+++ b/coordination/admission/servicetime.go
@@ -16,6 +16,8 @@
 	// spreadsForNearlyAll is how many mean deviations above the mean hold
 	// nearly all calls.
 	spreadsForNearlyAll = 3
+	// spreadsForMost is the same for most calls.
+	spreadsForMost = 2
 )
 
 // serviceTime estimates how long the calls of one class run.
@@ -54,6 +56,15 @@
 	return time.Duration((s.recent + spreadsForNearlyAll*s.spread) * float64(time.Second))
 }
 
+// most returns a time within which most calls end, or 0 when too little is
+// known.
+func (s *serviceTime) most() time.Duration {
+	if s.samples < minSamples {
+		return 0
+	}
+	return time.Duration((s.recent + spreadsForMost*s.spread) * float64(time.Second))
+}
+
 // long reports whether calls take threshold or longer.
 func (s *serviceTime) long(threshold time.Duration) bool {
 	return s.samples >= minSamplesForLong && s.recent >= threshold.Seconds()
