--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -139,3 +139,35 @@
 	require.Equal(t, state.RefusedQueueFull, joined.Reason)
 	require.Equal(t, state.OutcomeNotRun, notRun.Outcome)
 }
+
+// TestRetriesStayWithinTheRoutesAttempts counts only attempts that have reached
+// a backend server.
+func TestRetriesStayWithinTheRoutesAttempts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	refusal := state.NotRun(state.RefusedShed, "")
+	refusal.Arrived = true
+	head := call.Head{Deadline: now.Add(time.Second), MaxArrivals: 2}
+	require.Equal(t, retry.ActionOtherServer, newPolicy(retry.BudgetConfig{}).Decide(now, head, refusal, 1).Action)
+	head.Arrivals = 1
+	require.Equal(t, retry.ActionAnswer, newPolicy(retry.BudgetConfig{}).Decide(now, head, refusal, 2).Action)
+}
+
+// TestSharedBudgetHoldsOverAllNodes lets each of many nodes spend what it has:
+// the sum stays within the share and the slack.
+func TestSharedBudgetHoldsOverAllNodes(t *testing.T) {
+	const nodes, calls, slack = 10, 100, 58
+	spent := 0
+	for range nodes {
+		budget := retry.NewBudget(retry.BudgetConfig{Share: 0.2, Capacity: slack, Nodes: func() int { return nodes }})
+		require.False(t, budget.Spend("desk"), "a node that has just started has saved nothing")
+		for range calls {
+			budget.Earn("desk")
+			for budget.Spend("desk") {
+				spent++
+			}
+		}
+		require.False(t, budget.Spend("vault"), "each service has its own")
+	}
+	require.LessOrEqual(t, spent, nodes*calls/5+slack)
+	require.GreaterOrEqual(t, spent, nodes*calls/5-nodes)
+}
--- a/protocol/ticketfile/ticketfile_test.go
+++ b/protocol/ticketfile/ticketfile_test.go
@@ -24,7 +24,7 @@
 		Name: "r", Match: state.Match{PathPrefix: "/"}, Service: "desk", Class: state.ClassHigh,
 		LatencyTarget: 50 * time.Millisecond, Timeout: 2 * time.Second, Worth: 1, Idempotent: true,
 	}, ticket.Set.Routes[0])
-	require.Equal(t, defaultFloors, ticket.Set.Services[0].Floors)
+	require.Equal(t, state.DefaultService("desk"), ticket.Set.Services[0])
 	require.Equal(t, 6, ticket.Set.BackendServers[0].Slots)
 	require.Equal(t, []state.RouteName{"old"}, ticket.Remove.Routes)
 }
--- a/state/resources.go
+++ b/state/resources.go
@@ -95,7 +95,7 @@
 func DefaultService(name ServiceName) Service {
 	return Service{
 		Name:            name,
-		Floors:          [ClassCount]float64{0.25, 0.15, 0.10, 0.05},
+		Floors:          [ClassCount]float64{0.25, 0.20, 0.10, 0.05},
 		QueueLimits:     [ClassCount]int{64, 64, 32, 16},
 		SlowStart:       10 * time.Second,
 		RecordRetention: 10 * time.Minute,
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -107,6 +107,10 @@
 	return h.decisions.Retries.Decide(time.Now(), head, refusal, math.MaxInt).Refusal
 }
 
+// openTimeout bounds the time to reach a guard for a call, before another one
+// is asked. It is several round trips between regions.
+const openTimeout = 400 * time.Millisecond
+
 // ask sends a call to the guard of one backend server.
 func (h *Handler) ask(
 	waits waits,
@@ -121,7 +125,9 @@
 	if !ok {
 		return callstream.Answer{Refusal: state.NotRun(state.RefusedUnreachable, "the host of the backend server is not known")}
 	}
-	stream, err := h.dialer.OpenCall(waits.local, host, handshake.LaneOf(head.Class))
+	opening, cancel := context.WithTimeout(waits.local, openTimeout)
+	defer cancel()
+	stream, err := h.dialer.OpenCall(opening, host, handshake.LaneOf(head.Class))
 	if err != nil {
 		return callstream.Answer{Refusal: state.NotRun(state.RefusedUnreachable, "the guard can't be reached")}
 	}
