Group what an adapter supplies, and check that the platform's names stay in it

Config.Adapter holds the source, the front and back end and their settings. Connections to backend servers are given up after 4 s without a call.

--- a/cmd/wasabiport/node_test.go
+++ b/cmd/wasabiport/node_test.go
@@ -12,7 +12,7 @@
 )
 
 // programOnly are the fields that only an embedding program sets.
-var programOnly = []string{"Self", "Seed", "Network", "HTTPClient", "Logger"}
+var programOnly = []string{"Self", "Seed", "Network", "HTTPClient", "Logger", "Adapter"}
 
 func TestEveryFieldOfTheLibraryIsASettingAndTakenOver(t *testing.T) {
 	loaded := settings.DefaultNode()
--- a/config.go
+++ b/config.go
@@ -28,39 +28,9 @@
 	// No default.
 	PlatformURL string
 
-	// Source reads the platform in place of PlatformURL. Default nil.
-	Source controlloop.Source
-	// WholeSource says that Source holds the newest whole configuration alone,
-	// as baselines whose numbers leave some out. Default false.
-	WholeSource bool
-	// ReadersPerZone is the number of hosts of an availability zone that watch
-	// the platform, besides the roots of its trees. Default 0.
-	ReadersPerZone int
-	// TicketWatchPause and HostListWatchPause are the times between two
-	// watches of the platform that brought nothing. A longer one saves reads
-	// and learns of changes later. Default 1 s each.
-	TicketWatchPause   time.Duration
-	HostListWatchPause time.Duration
-	// SourceFallbackRate is the number of reads a second that all nodes that
-	// do not watch the platform may make together. Default 200.
-	SourceFallbackRate float64
-	// MaxSourceRetryInterval bounds the delay between reads of a platform that
-	// keeps failing. Default 30 s.
-	MaxSourceRetryInterval time.Duration
-	// Front maps the HTTP of callers, and Back that of backend servers. Default
-	// the system's own header names.
-	Front entry.Front
-	Back  guard.Back
-	// ConfirmCrashes says that a backend server that has crashed refuses
-	// connections for a while. The guard then takes a lost connection for a
-	// crash only when the next one is refused. Default false.
-	ConfirmCrashes bool
-	// RetryShare is the number of retries that each call earns, and RetrySlack
-	// the number that all nodes together may save up for a service. With
-	// RetrySlack, only retries after an attempt that has reached a backend
-	// server count. Default 0.1 and none: each node saves up 100.
-	RetryShare float64
-	RetrySlack float64
+	// Adapter says how the node meets a platform of another form. Default the
+	// form of docs/OPERATORS.md.
+	Adapter Adapter
 
 	// OfferInterval is the mean time between two choices of a random peer to
 	// exchange digests with, besides the peers of the trees, which do so all
@@ -128,6 +98,44 @@
 	Logger logr.Logger
 }
 
+// Adapter holds what a program supplies that embeds a node on a platform of
+// another form. The zero value of each field keeps the default.
+type Adapter struct {
+	// Source reads the platform in place of PlatformURL. Default nil.
+	Source controlloop.Source
+	// WholeSource says that Source holds the newest whole configuration alone,
+	// as baselines whose numbers leave some out. Default false.
+	WholeSource bool
+	// ReadersPerZone is the number of hosts of an availability zone that watch
+	// the platform, besides the roots of its trees. Default 0.
+	ReadersPerZone int
+	// TicketWatchPause and HostListWatchPause are the times between two
+	// watches of the platform that brought nothing. A longer one saves reads
+	// and learns of changes later. Default 1 s each.
+	TicketWatchPause   time.Duration
+	HostListWatchPause time.Duration
+	// SourceFallbackRate is the number of reads a second that all nodes that
+	// do not watch the platform may make together. Default 200.
+	SourceFallbackRate float64
+	// MaxSourceRetryInterval bounds the delay between reads of a platform that
+	// keeps failing. Default 30 s.
+	MaxSourceRetryInterval time.Duration
+	// Front maps the HTTP of callers, and Back that of backend servers. Default
+	// the system's own header names.
+	Front entry.Front
+	Back  guard.Back
+	// ConfirmCrashes says that a backend server that has crashed refuses
+	// connections for a while. The guard then takes a lost connection for a
+	// crash only when the next one is refused. Default false.
+	ConfirmCrashes bool
+	// RetryShare is the number of retries that each call earns, and RetrySlack
+	// the number that all nodes together may save up for a service. With
+	// RetrySlack, only retries after an attempt that has reached a backend
+	// server count. Default 0.1 and none: each node saves up 100.
+	RetryShare float64
+	RetrySlack float64
+}
+
 // DefaultConfig returns the settings for a fleet in a few regions.
 func DefaultConfig() Config {
 	return Config{
--- a/providers.go
+++ b/providers.go
@@ -80,13 +80,13 @@
 		OfferInterval:       config.OfferInterval,
 		ExpectedHosts:       config.ExpectedHosts,
 		SourceRetryInterval: config.SourceRetryInterval,
-		SourceFallbackRate:  config.SourceFallbackRate,
-		WholeSource:         config.WholeSource,
+		SourceFallbackRate:  config.Adapter.SourceFallbackRate,
+		WholeSource:         config.Adapter.WholeSource,
 
-		MaxSourceRetryInterval: config.MaxSourceRetryInterval,
-		ReadersPerZone:         config.ReadersPerZone,
-		TicketWatchPause:       config.TicketWatchPause,
-		HostListWatchPause:     config.HostListWatchPause,
+		MaxSourceRetryInterval: config.Adapter.MaxSourceRetryInterval,
+		ReadersPerZone:         config.Adapter.ReadersPerZone,
+		TicketWatchPause:       config.Adapter.TicketWatchPause,
+		HostListWatchPause:     config.Adapter.HostListWatchPause,
 	}
 	return control.NewPlane(settings, snapshots, newRandom(config, randomOfPlane))
 }
@@ -96,8 +96,8 @@
 }
 
 func newSource(config Config) controlloop.Source {
-	if config.Source != nil {
-		return config.Source
+	if config.Adapter.Source != nil {
+		return config.Adapter.Source
 	}
 	return source.NewClient(config.PlatformURL, config.HTTPClient)
 }
@@ -116,7 +116,7 @@
 		Suspects: quarantine.NewSuspects(quarantine.Config{}),
 		Owners:   owners,
 
-		ConfirmCrashes: config.ConfirmCrashes,
+		ConfirmCrashes: config.Adapter.ConfirmCrashes,
 	}
 }
 
@@ -127,7 +127,7 @@
 	zone guard.Zone,
 	logger logr.Logger,
 ) *guard.Guard {
-	back := config.Back
+	back := config.Adapter.Back
 	if back == nil {
 		back = httpmap.Back{}
 	}
@@ -146,12 +146,12 @@
 }
 
 func newDecisions(config Config, picker *picking.Picker, plane *control.Plane) entry.Decisions {
-	settings := retry.BudgetConfig{Share: config.RetryShare, Capacity: config.RetrySlack}
-	if config.RetrySlack > 0 {
+	settings := retry.BudgetConfig{Share: config.Adapter.RetryShare, Capacity: config.Adapter.RetrySlack}
+	if config.Adapter.RetrySlack > 0 {
 		settings.Nodes = plane.HostCount
 	}
 	budget := retry.NewBudget(settings)
-	policy := retry.Config{ArrivalsOnly: config.RetrySlack > 0, CrashesConfirmed: config.ConfirmCrashes}
+	policy := retry.Config{ArrivalsOnly: config.Adapter.RetrySlack > 0, CrashesConfirmed: config.Adapter.ConfirmCrashes}
 	return entry.Decisions{
 		Picker:  picker,
 		Retries: retry.NewPolicy(policy, budget, newRandom(config, randomOfRetries)),
@@ -175,7 +175,7 @@
 		MaxBodyBytes: config.MaxBodyBytes,
 		StallTimeout: config.StallTimeout,
 	}
-	front := config.Front
+	front := config.Adapter.Front
 	if front == nil {
 		front = httpmap.Front{MaxHeaderFields: config.MaxHeaderFields}
 	}
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -18,6 +18,11 @@
 	"github.com/wasabiport/wasabiport/transport/callstream"
 )
 
+// backendIdleTimeout is how long a connection to a backend server is kept
+// without a call. It is shorter than backend servers keep theirs, so that a call
+// seldom meets the end of its connection.
+const backendIdleTimeout = 4 * time.Second
+
 func (g *Guard) newTransport(server state.BackendServer) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
@@ -30,6 +35,7 @@
 		MaxConnsPerHost:     server.Connections,
 		MaxIdleConnsPerHost: server.Connections,
 		DisableCompression:  true,
+		IdleConnTimeout:     backendIdleTimeout,
 	}
 }
 
