--- /dev/null
+++ b/transport/calllog/calllog_test.go
@@ -0,0 +1,78 @@
+package calllog_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/calllog"
+	"github.com/wasabiport/wasabiport/transport/entry"
+	"github.com/wasabiport/wasabiport/transport/events"
+)
+
+// nobody is an observer that does nothing.
+type nobody struct{}
+
+func (nobody) Began()            {}
+func (nobody) Ended(entry.Ended) {}
+func (nobody) Retried()          {}
+
+func newObserver(t *testing.T) (*calllog.Observer, *bytes.Buffer) {
+	var output bytes.Buffer
+	logger, err := events.NewLogger(&output, events.FormatJSON, events.LevelInfo)
+	require.NoError(t, err)
+	return calllog.New(nobody{}, logger), &output
+}
+
+func failed(id state.CallID) entry.Ended {
+	refusal := state.MayHaveRun(state.RefusedBackendServerFailed, "the answer was cut")
+	return entry.Ended{
+		ID: id, Route: "status", Class: state.ClassHigh, Ticket: 7, Took: 120 * time.Millisecond,
+		Outcome: refusal.Outcome, Reason: refusal.Reason, Detail: refusal.Detail,
+		Attempts: []entry.Attempt{
+			{BackendServer: "desk-0", Took: 20 * time.Millisecond, Refusal: state.NotRun(state.RefusedQueueFull, "")},
+			{BackendServer: "desk-1", Took: 100 * time.Millisecond, Refusal: refusal},
+		},
+	}
+}
+
+// TestFailedCallIsExplainedByItsLine finds the cause from the id alone.
+func TestFailedCallIsExplainedByItsLine(t *testing.T) {
+	observer, output := newObserver(t)
+	observer.Ended(failed("id-1"))
+	line := output.String()
+	for _, part := range []string{
+		`"call":"id-1"`, `"ticket":7`, `"outcome":"may-have-run"`, `"reason":"backend-server-failed"`,
+		"the answer was cut", "desk-0 20ms queue-full not-run; desk-1 100ms backend-server-failed may-have-run",
+	} {
+		require.Contains(t, line, part)
+	}
+}
+
+func TestCallsThatGoWellHaveNoLine(t *testing.T) {
+	observer, output := newObserver(t)
+	observer.Ended(entry.Ended{ID: "id-1", Attempts: []entry.Attempt{{BackendServer: "desk-0"}}})
+	require.Empty(t, output.String())
+}
+
+// TestFloodOfFailuresIsBounded counts the lines of one second, and finds the
+// number of those left out in the next one.
+func TestFloodOfFailuresIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		observer, output := newObserver(t)
+		for range 10_000 {
+			observer.Ended(failed("id-1"))
+		}
+		written := strings.Count(output.String(), "\n")
+		require.LessOrEqual(t, written, 120)
+		time.Sleep(time.Second)
+		output.Reset()
+		observer.Ended(failed("id-2"))
+		require.Contains(t, output.String(), `"left_out":99`)
+	})
+}
--- /dev/null
+++ b/transport/events/async_test.go
@@ -0,0 +1,68 @@
+package events_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/transport/events"
+)
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct{ released chan struct{} }
+
+func (w stuckWriter) Write(p []byte) (int, error) {
+	<-w.released
+	return len(p), nil
+}
+
+// closedWriter is a reader of the log that has gone away.
+type closedWriter struct{}
+
+func (closedWriter) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
+func TestLogNeverBlocksOnItsReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stuck := stuckWriter{released: make(chan struct{})}
+		writer := events.NewAsyncWriter(stuck)
+		const lines = 5000
+		for range lines {
+			_, err := writer.Write([]byte("line\n"))
+			require.NoError(t, err)
+		}
+		require.Positive(t, writer.Dropped())
+		require.Less(t, writer.Dropped(), int64(lines))
+		done := make(chan struct{})
+		time.AfterFunc(time.Second, func() { close(done) })
+		writer.Flush(done)
+		close(stuck.released)
+		writer.Flush(nil)
+	})
+}
+
+func TestLogSurvivesAClosedReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writer := events.NewAsyncWriter(closedWriter{})
+		_, err := writer.Write([]byte("line\n"))
+		require.NoError(t, err)
+		writer.Flush(nil)
+		require.Equal(t, int64(1), writer.Dropped())
+	})
+}
+
+func TestFlushWritesWhatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var output bytes.Buffer
+		writer := events.NewAsyncWriter(&output)
+		for _, line := range []string{"a\n", "b\n"} {
+			_, err := writer.Write([]byte(line))
+			require.NoError(t, err)
+		}
+		writer.Flush(nil)
+		require.Equal(t, "a\nb\n", output.String())
+	})
+}
