Let the demonstration tell a refused call from a cut one

Beside load the demonstration ended with 7 of 8 calls finished and none cut: the eighth was refused as not run, which no stop has cut. The check asked for 8 finished calls; it now asks that each call was finished or truly not run, by the runs that the backend servers counted. Nodes that start beside load get 1.5 s in place of 0.3 s before the calm phase, since guards refuse keyed calls at first.

--- a/internal/demo/leaving.go
+++ b/internal/demo/leaving.go
@@ -78,9 +78,14 @@
 		return err
 	}
 	cut := slow.total().cut + s.phases[len(s.phases)-1].tally.total().cut
-	s.promises.look(stopErr == nil && cut == 0 && slow.total().done == slowCalls,
+	ended := slow.total()
+	// A call that was refused before it ran was not cut, if that is true.
+	untrue := s.ran(slow.notRunIDs())
+	whole := ended.done > 0 && untrue == 0 && ended.done+ended.notRun == slowCalls
+	s.promises.look(stopErr == nil && cut == 0 && whole,
 		"every planned stop is graceful and cuts no request",
-		"%s stopped with %d calls in it; %d finished, %d cut", host.Name, slowCalls, slow.total().done, cut)
+		"%s stopped with %d calls in it; %d finished, %d not run, %d cut",
+		host.Name, slowCalls, ended.done, ended.notRun, cut)
 	return nil
 }
 
--- a/internal/demo/look.go
+++ b/internal/demo/look.go
@@ -16,11 +16,7 @@
 	runs := s.runs()
 	untrue, once, twice := 0, 0, 0
 	for _, phase := range s.phases {
-		for _, id := range phase.tally.notRunIDs() {
-			if runs[id] > 0 {
-				untrue++
-			}
-		}
+		untrue += s.ran(phase.tally.notRunIDs())
 		for _, id := range phase.tally.onceIDs() {
 			if runs[id] > 0 {
 				once++
@@ -58,3 +54,15 @@
 	}
 	return sum
 }
+
+// ran counts the calls among ids that a backend server has run.
+func (s *show) ran(ids []string) int {
+	runs := s.runs()
+	count := 0
+	for _, id := range ids {
+		if runs[id] > 0 {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/demo/show.go
+++ b/internal/demo/show.go
@@ -27,6 +27,8 @@
 	servedShare = 0.99
 	// phaseTime is how long calls are sent in the phases without an event.
 	phaseTime = 1500 * time.Millisecond
+	// startTime is how long nodes may take to start beside each other.
+	startTime = 1500 * time.Millisecond
 	// settleTime is how long calls are sent before and after an event.
 	settleTime = 300 * time.Millisecond
 	// downTime is how long a killed node stays away.
@@ -144,7 +146,7 @@
 func (s *show) calm(ctx context.Context) error {
 	// Guards tell a new idempotency key from one that may have run before
 	// they started only when it is newer by the clock skew that they allow.
-	if err := sleep(ctx, callrecord.DefaultClockSkew+settleTime); err != nil {
+	if err := sleep(ctx, callrecord.DefaultClockSkew+startTime); err != nil {
 		return err
 	}
 	send := func(action func() error) (*tally, error) { return s.traffic.during(ctx, action) }
