Keep to itself what a node guesses of lapsed registrations

A list with kept registrations is now neither offered nor handed out. Test: TestKeptRegistrationsStayWithTheNodeThatKeepsThem, which fails before.

--- a/coordination/control/hosts.go
+++ b/coordination/control/hosts.go
@@ -118,7 +118,7 @@
 }
 
 func (p *Plane) answerHostListRequest(output *Output, from state.HostName, have uint64) {
-	if list := p.members.List(); list.Version > have {
+	if list := p.members.List(); list.Version > have && !p.lapses.holds() {
 		output.send(from, HostList{List: list})
 	}
 }
--- a/coordination/control/lapses.go
+++ b/coordination/control/lapses.go
@@ -51,6 +51,14 @@
 	return kept
 }
 
+// holds reports whether the list in force has backend servers that the source
+// does not. Such a list is this node's own guess and goes to no peer.
+func (l *lapses) holds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.recheck
+}
+
 // recheckAt returns when the source has to be read anew, if it has to.
 func (l *lapses) recheckAt() (time.Time, bool) {
 	l.mu.Lock()
--- a/coordination/control/lapses_test.go
+++ b/coordination/control/lapses_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -43,3 +44,24 @@
 	gone := lapses.answered(time.Unix(1000, 0), listOf(7, "a", "b"), listOf(9, "b"))
 	require.Len(t, gone.Registered, 1)
 }
+
+// TestKeptRegistrationsStayWithTheNodeThatKeepsThem has a node come back to the
+// source while a backend server leaves: its peers, which know better, must not
+// take the backend server up again.
+func TestKeptRegistrationsStayWithTheNodeThatKeepsThem(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := Config{Self: state.Host{Name: "self", Zone: "north"}, WholeSource: true}
+	plane := NewPlane(config, state.NewSnapshotStore(1), rand.New(rand.NewPCG(1, 2)))
+	plane.HostListAnswered(now, listOf(7, "a", "b"))
+	plane.HostListFailed(now)
+	plane.HostListAnswered(now, listOf(9, "b"))
+	require.Len(t, plane.snapshots.Load().Registry().Servers(), 2, "kept here")
+	require.Zero(t, plane.offer(now).HostListVersion)
+	output := plane.Receive(now, "peer", HostListRequest{Have: 8})
+	require.Empty(t, output.Sends)
+
+	later := now.Add(3 * time.Second)
+	plane.HostListAnswered(later, listOf(10, "b"))
+	require.Len(t, plane.snapshots.Load().Registry().Servers(), 1)
+	require.Equal(t, uint64(10), plane.offer(later).HostListVersion)
+}
--- a/coordination/control/offer.go
+++ b/coordination/control/offer.go
@@ -16,12 +16,20 @@
 		Incarnation:     self.Incarnation,
 		Heartbeat:       self.Heartbeat,
 		Phase:           self.Phase,
-		HostListVersion: p.members.List().Version,
+		HostListVersion: p.offeredHostList(),
 		TicketsAge:      ageOf(now, p.tickets.ConfirmedAt()),
 		HostListAge:     ageOf(now, p.hostLists.ConfirmedAt()),
 	}
 }
 
+// offeredHostList returns the version of the host list that peers may ask for.
+func (p *Plane) offeredHostList() uint64 {
+	if p.lapses.holds() {
+		return 0
+	}
+	return p.members.List().Version
+}
+
 func ageOf(now, confirmedAt time.Time) time.Duration {
 	if confirmedAt.IsZero() {
 		return NeverConfirmed
