--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -69,12 +69,6 @@
 	return spent
 }
 
-// Balance returns the retries that are left for a service.
-func (b *Budget) Balance(service state.ServiceName) float64 {
-	balance, present := b.balances.Get(service)
-	return b.start(balance, present)
-}
-
 func (b *Budget) start(balance float64, present bool) float64 {
 	if present || b.config.Nodes != nil {
 		return balance
