Answer requests that are read while a node ends

A connection that was accepted before, and whose first request came 0.5 s after the listener had closed, ended without an answer. Ruled out: the bound for the last answers of a leaving node (5.2 s after SIGTERM, not 2.9 s), the guard's drain. Found beside it: Shutdown closes connections whose next request has been read and not yet been noticed, and closing the listener resets connections that wait to be accepted.

Change: entry.Server ends by itself. HTTP/2 is left to the HTTP server.

Before: the tests of transport/entry fail with 'the connection ended without an answer'. After: they pass (25 runs, and under the race detector).

--- a/node.go
+++ b/node.go
@@ -52,7 +52,7 @@
 	stopKeys  context.CancelFunc
 	registry  *prometheus.Registry
 	entry     *entry.Handler
-	callers   *http.Server
+	callers   *entry.Server
 	operators *http.Server
 	listeners listeners
 	leaving   atomic.Bool
@@ -98,8 +98,7 @@
 
 func (n *Node) start() {
 	n.threads.Go(func() { _ = n.pool.Serve(n.listeners.peers) })
-	callers := entry.LimitConnections(n.listeners.callers, n.config.MaxConnectionsPerAddress)
-	n.threads.Go(func() { _ = n.callers.Serve(callers) })
+	n.threads.Go(func() { _ = n.callers.Serve(n.listeners.callers) })
 	n.threads.Go(func() { _ = n.operators.Serve(n.listeners.operators) })
 	n.threads.Go(n.guard.Watch)
 	var ctx context.Context
--- a/providers.go
+++ b/providers.go
@@ -182,11 +182,12 @@
 	return entry.NewHandler(settings, front, decisions, snapshots, hosts, readiness, dialer, local, observer)
 }
 
-func newCallerServer(config Config, handler *entry.Handler) *http.Server {
+func newCallerServer(config Config, handler *entry.Handler) *entry.Server {
 	settings := entry.ServerConfig{
-		HeaderTimeout:  readHeaderTimeout,
-		IdleTimeout:    callerIdleTimeout,
-		MaxHeaderBytes: config.MaxHeaderBytes,
+		HeaderTimeout:            readHeaderTimeout,
+		IdleTimeout:              callerIdleTimeout,
+		MaxHeaderBytes:           config.MaxHeaderBytes,
+		MaxConnectionsPerAddress: config.MaxConnectionsPerAddress,
 	}
 	return entry.NewServer(settings, handler)
 }
@@ -200,7 +201,7 @@
 	pool *peering.Pool,
 	security peerSecurity,
 	handler *entry.Handler,
-	callers *http.Server,
+	callers *entry.Server,
 	registry *prometheus.Registry,
 ) (*Node, error) {
 	if err := metrics.RegisterDistribution(registry, plane); err != nil {
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -188,6 +188,14 @@
 	return deadline
 }
 
+// endConnection makes the answer the last of its connection when the node is
+// leaving.
+func (h *Handler) endConnection(w http.ResponseWriter, r *http.Request) {
+	if h.leaveBy.Load() != nil && r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // waits are how long the parts of a call are waited for.
 type waits struct {
 	// local bounds the work of the guard on this node.
@@ -199,9 +207,6 @@
 
 // ServeHTTP serves one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.leaveBy.Load() != nil && r.ProtoMajor == 1 {
-		w.Header().Set("Connection", "close")
-	}
 	started := time.Now()
 	ended := Ended{ID: state.CallID(uuid.NewString()), Class: state.ClassBackground}
 	h.observer.Began()
@@ -213,6 +218,7 @@
 		ended.Outcome = refusal.Outcome
 		ended.Reason = refusal.Reason
 		ended.Detail = refusal.Detail
+		h.endConnection(w, r)
 		h.front.WriteRefusal(w, r, ended.ID, refusal)
 	}
 }
@@ -261,6 +267,7 @@
 	}
 	// A panic of writeReply tells the server to break the connection.
 	ended.Cut = true
+	h.endConnection(w, r)
 	h.writeReply(w, controller, reply)
 	ended.Cut = false
 	return nil
--- a/transport/entry/server.go
+++ b/transport/entry/server.go
@@ -1,12 +1,13 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/wasabiport/wasabiport/state"
+	"github.com/cockroachdb/errors"
 )
 
 // ServerConfig holds the settings of the server for callers.
@@ -19,91 +20,74 @@
 	IdleTimeout time.Duration
 	// MaxHeaderBytes bounds the headers of a request. No default.
 	MaxHeaderBytes int
+	// MaxConnectionsPerAddress bounds the connections from one IP address.
+	// Those beyond it are closed at once. No default.
+	MaxConnectionsPerAddress int
 }
 
 // maxStreamsPerConnection bounds the calls at the same time on one HTTP/2
 // connection.
 const maxStreamsPerConnection = 250
 
-// NewServer returns a server that speaks HTTP/1.1 and HTTP/2 without TLS.
-func NewServer(config ServerConfig, handler http.Handler) *http.Server {
+// Server serves callers over HTTP/1.1 and HTTP/2 without TLS.
+type Server struct {
+	http        *http.Server
+	connections *callerConns
+	// listener is nil until Serve is called.
+	listener atomic.Pointer[callerListener]
+	// served is closed when Serve returns.
+	served chan struct{}
+}
+
+// NewServer returns a server that passes requests to handler.
+func NewServer(config ServerConfig, handler http.Handler) *Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: config.HeaderTimeout,
-		IdleTimeout:       config.IdleTimeout,
-		MaxHeaderBytes:    config.MaxHeaderBytes,
-		Protocols:         protocols,
-		// The handler answers "OPTIONS *" like any other request.
-		DisableGeneralOptionsHandler: true,
-		HTTP2:                        &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConnection},
-	}
-}
-
-// LimitConnections returns a listener that closes connections beyond limit
-// from the same IP address at once.
-func LimitConnections(listener net.Listener, limit int) net.Listener {
-	return &limitedListener{
-		Listener: listener,
-		limit:    limit,
-		open:     state.NewShardedMap[string, int](state.DefaultShardCount),
+	return &Server{
+		connections: newCallerConns(config.MaxConnectionsPerAddress),
+		served:      make(chan struct{}),
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: config.HeaderTimeout,
+			IdleTimeout:       config.IdleTimeout,
+			MaxHeaderBytes:    config.MaxHeaderBytes,
+			Protocols:         protocols,
+			ConnState:         setPhase,
+			// The handler answers "OPTIONS *" like any other request.
+			DisableGeneralOptionsHandler: true,
+			HTTP2:                        &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConnection},
+		},
 	}
 }
 
-type limitedListener struct {
-	net.Listener
-	limit int
-	// open counts the connections by IP address.
-	open *state.ShardedMap[string, int]
+// Serve accepts connections until the server ends. It returns
+// http.ErrServerClosed or net.ErrClosed then. It must be called once.
+func (s *Server) Serve(listener net.Listener) error {
+	defer close(s.served)
+	callers := &callerListener{Listener: listener, connections: s.connections}
+	s.listener.Store(callers)
+	return s.http.Serve(callers)
 }
 
-func (l *limitedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		address := ipAddress(conn.RemoteAddr())
-		if l.begin(address) {
-			return &countedConn{Conn: conn, end: func() { l.end(address) }}, nil
+// Shutdown takes no more connections, ends those without a call and waits for
+// the others. Each answer must be the last of its connection by now. It
+// returns the context's error when ctx ends first.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if listener := s.listener.Load(); listener != nil {
+		listener.finish()
+		select {
+		case <-s.served:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "accept the connections that wait")
 		}
-		_ = conn.Close()
 	}
-}
-
-func (l *limitedListener) begin(address string) bool {
-	admitted := false
-	l.open.Update(address, func(count int, present bool) (int, bool) {
-		admitted = count < l.limit
-		if admitted {
-			return count + 1, true
-		}
-		return count, present
-	})
-	return admitted
-}
-
-func (l *limitedListener) end(address string) {
-	l.open.Update(address, func(count int, _ bool) (int, bool) { return count - 1, count > 1 })
-}
-
-func ipAddress(address net.Addr) string {
-	if host, _, err := net.SplitHostPort(address.String()); err == nil {
-		return host
+	if err := s.connections.drain(ctx); err != nil {
+		return err
 	}
-	return address.String()
-}
-
-// countedConn tells its listener when it is closed.
-type countedConn struct {
-	net.Conn
-	once sync.Once
-	end  func()
+	// Only HTTP/2 is left, of which the HTTP server takes leave properly.
+	return errors.Wrap(s.http.Shutdown(ctx), "wait for the calls over HTTP/2")
 }
 
-func (c *countedConn) Close() error {
-	c.once.Do(c.end)
-	return c.Conn.Close()
-}
+// Close cuts all connections.
+func (s *Server) Close() error { return s.http.Close() }
