--- a/transport/events/node.go
+++ b/transport/events/node.go
@@ -64,11 +64,14 @@
 }
 
 // SettingsReloaded is logged when changed settings are in force.
-type SettingsReloaded struct{}
+type SettingsReloaded struct {
+	// Changed names the fields of the settings file that have other values.
+	Changed []string `event:"changed"`
+}
 
 // Kind returns the description of the event.
 func (SettingsReloaded) Kind() Kind {
-	return Kind{106, LevelInfo, "settings-reloaded", "The settings were read again; those that may change while the node runs are in force."}
+	return Kind{106, LevelInfo, "settings-reloaded", "The settings were read again; of the fields that have changed, those that may change while the node runs are in force."}
 }
 
 // SettingsRejected is logged when changed settings can't be used.
