Pick a backend server by its life, and gently while it is slow

A backend server that was seen draining and started again under its name got no call for up to a minute, because what was seen of it outlived it. What was seen now belongs to one incarnation. One that says that it is still slow after its start counts with half of its slots. Two tests that failed before.

--- a/coordination/picking/config.go
+++ b/coordination/picking/config.go
@@ -23,6 +23,10 @@
 // coldWeight is the weight of a backend server that has just come back.
 const coldWeight = 0.1
 
+// slowWeight is the weight of a backend server that says itself that it is
+// still slow after its start.
+const slowWeight = 0.5
+
 // Config holds the settings of a Picker.
 type Config struct {
 	// Zone is the availability zone of this node.
--- a/coordination/picking/picking_test.go
+++ b/coordination/picking/picking_test.go
@@ -159,6 +159,35 @@
 	}
 }
 
+// withServer returns the snapshot with one backend server changed.
+func withServer(snapshot *state.Snapshot, name state.BackendServerName, change func(*state.BackendServer)) *state.Snapshot {
+	server, _ := snapshot.BackendServer(name)
+	change(&server)
+	builder := state.NewSnapshotBuilder(snapshot)
+	builder.Set(state.Resources{BackendServers: []state.BackendServer{server}})
+	return builder.Build(snapshot.Judged()+1, snapshot.Judged()+1)
+}
+
+func TestServerThatStartsAgainUnderItsNameStartsAnew(t *testing.T) {
+	f, snapshot := newFleet()
+	picker := newPicker(f)
+	picker.ObserveRefusal(epoch, "lahore-1", state.NotRun(state.RefusedDraining, ""))
+	require.Zero(t, picksOf(picker, epoch, snapshot, "lahore-1", 200))
+	again := withServer(snapshot, "lahore-1", func(server *state.BackendServer) { server.Incarnation = 2 })
+	require.NotZero(t, picksOf(picker, epoch, again, "lahore-1", 200))
+}
+
+func TestServerThatIsStillSlowGetsLess(t *testing.T) {
+	f, snapshot := newFleet()
+	slow := withServer(snapshot, "lahore-1", func(server *state.BackendServer) {
+		server.WarmAt = epoch.Add(time.Second).UnixMilli()
+	})
+	picked := picksOf(newPicker(f), epoch, slow, "lahore-1", picks)
+	require.InDelta(t, picks/3, picked, picks/10)
+	warm := picksOf(newPicker(f), epoch.Add(2*time.Second), slow, "lahore-1", picks)
+	require.InDelta(t, picks/2, warm, picks/10)
+}
+
 func TestServerOfALeavingHostGetsNothing(t *testing.T) {
 	f, snapshot := newFleet()
 	for _, phase := range []state.HostPhase{state.HostLeaving, state.HostGone} {
--- a/coordination/picking/sight.go
+++ b/coordination/picking/sight.go
@@ -10,6 +10,9 @@
 
 // sight is what this node has seen of one backend server.
 type sight struct {
+	// life is the incarnation of the backend server that was seen.
+	life int64
+
 	hint     call.LoadHint
 	observed time.Time
 	// picked counts the picks since the hint, and fades like it.
@@ -46,11 +49,14 @@
 
 // score is the load for each slot, with the next call counted in. Less is
 // better.
-func (s sight) score(now time.Time, configuredSlots int, slowStart, halfLife time.Duration) float64 {
-	slots := float64(configuredSlots)
+func (s sight) score(now time.Time, server *state.BackendServer, slowStart, halfLife time.Duration) float64 {
+	slots := float64(server.Slots)
 	if now.Sub(s.observed) <= halfLife && s.hint.Slots > 0 {
 		slots = float64(s.hint.Slots)
 	}
+	if now.UnixMilli() < server.WarmAt {
+		slots *= slowWeight
+	}
 	return (s.load(now, halfLife) + 1) / max(1, slots*s.warmth(now, slowStart))
 }
 
--- a/coordination/picking/tiers.go
+++ b/coordination/picking/tiers.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		phase := p.hosts.PhaseOf(server.Host)
-		seen := p.see(now, server.Name, phase)
+		seen := p.see(now, server, phase)
 		if seen.draining() || phase == state.HostLeaving || phase == state.HostGone {
 			continue
 		}
@@ -57,7 +57,7 @@
 		}
 		tiers[i] = append(tiers[i], candidate{
 			server:    server,
-			score:     seen.score(now, server.Slots, slowStart, p.config.HintHalfLife),
+			score:     seen.score(now, server, slowStart, p.config.HintHalfLife),
 			work:      seen.hint.Running + seen.hint.Waiting,
 			slots:     seen.hint.Slots,
 			saturated: seen.saturated(now, p.config.HintHalfLife),
@@ -67,14 +67,19 @@
 }
 
 // see returns what was seen of a backend server, in the light of the phase of
-// its host.
-func (p *Picker) see(now time.Time, name state.BackendServerName, phase state.HostPhase) sight {
-	seen, _ := p.sights.Get(name)
-	if !seen.draining() {
+// its host. What was seen of an earlier life does not count.
+func (p *Picker) see(now time.Time, server *state.BackendServer, phase state.HostPhase) sight {
+	seen, _ := p.sights.Get(server.Name)
+	if seen.life == server.Incarnation && !seen.draining() {
 		return seen
 	}
-	p.sights.Update(name, func(held sight, _ bool) (sight, bool) {
-		seen = held.withPhase(now, phase, p.config.DrainMemory)
+	p.sights.Update(server.Name, func(held sight, _ bool) (sight, bool) {
+		if seen = held; seen.life != server.Incarnation {
+			seen = sight{life: server.Incarnation}
+		}
+		if seen.draining() {
+			seen = seen.withPhase(now, phase, p.config.DrainMemory)
+		}
 		return seen, true
 	})
 	return seen
