Settle at once what has left while the store turned a node away

Their watches of the entries were swallowed and timed out 4.5 s after they had begun, 3 s after the watches of the configuration had found the store back. What had left by then was taken for lapsed and kept for 2 s more; during that grace also what left under the nodes' eyes was kept; and the next watch outlasted the end of the grace by 1.2 s. Peers that had heard the store all the time knew better and were not asked.

The list with the kept ones counts as older than the source's, so that the source's own always replaces it. A starting node offers no list for the grace, as it can't know whether one is missing. Found on the way: an offer of version 0 confirmed 'no list' to a starting node, which then did not read for itself for a minute; a whole configuration read again counted as an old answer and backed off.

--- a/coordination/control/hosts.go
+++ b/coordination/control/hosts.go
@@ -36,8 +36,12 @@
 	output := p.noticePause(now)
 	known := p.members.List()
 	answer := classifyHostList(list.Version, known.Version)
-	p.takeHostList(now, &output, "", p.lapses.answered(now, known, list))
+	goBy, doubtful := p.lapses.answered(now, known, list)
+	p.takeHostList(now, &output, "", goBy)
 	p.hostLists.Answered(now, answer)
+	if doubtful {
+		p.spread(&output, HostListRequest{}, "")
+	}
 	return output
 }
 
@@ -51,10 +55,15 @@
 // NextHostListRead returns when and how to read the host list next.
 func (p *Plane) NextHostListRead(now time.Time) HostListRead {
 	next := p.hostLists.Next(now)
-	if at, due := p.lapses.recheckAt(); due && !at.After(next.At) {
-		return HostListRead{At: at}
+	read := HostListRead{At: next.At, After: p.members.List().Version, Watch: next.Watch}
+	recheckAt, due := p.lapses.recheck()
+	if due && !recheckAt.After(next.At) {
+		return HostListRead{At: recheckAt}
+	}
+	if due {
+		read.WatchUntil = recheckAt
 	}
-	return HostListRead{At: next.At, After: p.members.List().Version, Watch: next.Watch}
+	return read
 }
 
 func (p *Plane) takeHostList(now time.Time, output *Output, from state.HostName, list state.HostList) {
@@ -117,8 +126,15 @@
 	p.spread(output, HostListChanges{Changes: changes}, from)
 }
 
-func (p *Plane) answerHostListRequest(output *Output, from state.HostName, have uint64) {
-	if list := p.members.List(); list.Version > have && !p.lapses.holds() {
+// takePeersHostList takes the host list of a peer, which may be older than this
+// node's own.
+func (p *Plane) takePeersHostList(now time.Time, output *Output, from state.HostName, list state.HostList) {
+	p.lapses.compare(now, list)
+	p.takeHostList(now, output, from, list)
+}
+
+func (p *Plane) answerHostListRequest(now time.Time, output *Output, from state.HostName, have uint64) {
+	if list := p.members.List(); list.Version > have && !p.lapses.guesses(now) {
 		output.send(from, HostList{List: list})
 	}
 }
--- a/coordination/control/lapses.go
+++ b/coordination/control/lapses.go
@@ -1,14 +1,17 @@
 package control
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/wasabiport/wasabiport/state"
 )
 
-// lapses keeps backend servers whose registration has run out while the source
-// was away, until they have had the time to register again.
+// lapses keeps backend servers whose registration may have run out while the
+// source was away, until they have had the time to register again. It keeps
+// those alone that were missing when the source came back: what goes later is
+// gone.
 type lapses struct {
 	grace time.Duration
 
@@ -17,9 +20,14 @@
 	away bool
 	// until is the end of the grace after the return of the source.
 	until time.Time
-	// recheck says that the source has to be read again at until, because
-	// some registrations are kept that it does not have.
-	recheck bool
+	// kept are the backend servers that the source does not have. They stay
+	// in force until a read after until.
+	kept []state.BackendServer
+	// starting says that this node has read its first list, and can't tell
+	// before until whether registrations are missing from it.
+	starting bool
+	// recheckAt is when the source has to be read anew; zero when it need not.
+	recheckAt time.Time
 }
 
 func newLapses(grace time.Duration) *lapses { return &lapses{grace: grace} }
@@ -32,60 +40,90 @@
 }
 
 // answered returns the list to go by after the source has answered: the
-// source's, with the backend servers of known that may only have lapsed.
-func (l *lapses) answered(now time.Time, known, list state.HostList) state.HostList {
+// source's, with the backend servers of known that may only have lapsed. It
+// reports whether it has begun to keep some, so that peers are to be asked.
+func (l *lapses) answered(now time.Time, known, list state.HostList) (goBy state.HostList, doubtful bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.away {
-		l.away = false
+	l.recheckAt = time.Time{}
+	switch {
+	case known.Version == 0:
+		l.starting = len(list.Registered) > 0
 		l.until = now.Add(l.grace)
+	case l.away:
+		l.kept = known.Registered
+		l.until = now.Add(l.grace)
+	default:
 	}
+	returned := l.away
+	l.away = false
+	l.kept = without(l.kept, list.Registered)
 	if !now.Before(l.until) {
-		l.recheck = false
-		return list
+		l.kept = nil
 	}
-	kept := withLapsed(known, list)
-	if len(kept.Registered) > len(list.Registered) {
-		l.recheck = true
+	if len(l.kept) == 0 {
+		return list, false
 	}
-	return kept
-}
-
-// holds reports whether the list in force has backend servers that the source
-// does not. Such a list is this node's own guess and goes to no peer.
-func (l *lapses) holds() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.recheck
+	l.recheckAt = l.until
+	return withKept(list, l.kept, known.Hosts), returned
 }
 
-// recheckAt returns when the source has to be read anew, if it has to.
-func (l *lapses) recheckAt() (time.Time, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.until, l.recheck
+// without returns the backend servers that are not among others.
+func without(servers, others []state.BackendServer) []state.BackendServer {
+	names := make(map[state.BackendServerName]bool, len(others))
+	for _, other := range others {
+		names[other.Name] = true
+	}
+	return slices.DeleteFunc(slices.Clone(servers), func(server state.BackendServer) bool { return names[server.Name] })
 }
 
-// withLapsed adds the backend servers that list lacks, and their hosts.
-func withLapsed(known, list state.HostList) state.HostList {
-	registered := make(map[state.BackendServerName]bool, len(list.Registered))
-	for _, server := range list.Registered {
-		registered[server.Name] = true
+// withKept adds backend servers and their hosts to a list. The list is then
+// older than the source's, so that the source's own replaces it later.
+func withKept(list state.HostList, kept []state.BackendServer, hosts []state.Host) state.HostList {
+	joined := state.HostList{
+		Version:    list.Version - 1,
+		Registered: append(slices.Clone(list.Registered), kept...),
+		Hosts:      slices.Clone(list.Hosts),
+	}
+	missing := make(map[state.HostName]bool)
+	for _, server := range kept {
+		missing[server.Host] = true
 	}
-	hosts := make(map[state.HostName]bool, len(list.Hosts))
 	for _, host := range list.Hosts {
-		hosts[host.Name] = true
+		delete(missing, host.Name)
 	}
-	kept := list
-	for _, server := range known.Registered {
-		if !registered[server.Name] {
-			kept.Registered = append(kept.Registered[:len(kept.Registered):len(kept.Registered)], server)
+	for _, host := range hosts {
+		if missing[host.Name] {
+			joined.Hosts = append(joined.Hosts, host)
 		}
 	}
-	for _, host := range known.Hosts {
-		if !hosts[host.Name] {
-			kept.Hosts = append(kept.Hosts[:len(kept.Hosts):len(kept.Hosts)], host)
-		}
+	return joined
+}
+
+// compare takes the list of a peer that has heard the source all the time: what
+// it lacks is gone, and the source is to be read again at once.
+func (l *lapses) compare(now time.Time, list state.HostList) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	gone := without(l.kept, list.Registered)
+	if len(gone) == 0 {
+		return
 	}
-	return kept
+	l.kept = without(l.kept, gone)
+	l.recheckAt = now
+}
+
+// guesses reports whether the list in force is this node's own guess, which
+// goes to no peer.
+func (l *lapses) guesses(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.recheckAt.IsZero() || l.starting && now.Before(l.until)
+}
+
+// recheck returns when the source has to be read anew, if it has to.
+func (l *lapses) recheck() (at time.Time, due bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.recheckAt, !l.recheckAt.IsZero()
 }
--- a/coordination/control/offer.go
+++ b/coordination/control/offer.go
@@ -16,15 +16,15 @@
 		Incarnation:     self.Incarnation,
 		Heartbeat:       self.Heartbeat,
 		Phase:           self.Phase,
-		HostListVersion: p.offeredHostList(),
+		HostListVersion: p.offeredHostList(now),
 		TicketsAge:      ageOf(now, p.tickets.ConfirmedAt()),
 		HostListAge:     ageOf(now, p.hostLists.ConfirmedAt()),
 	}
 }
 
 // offeredHostList returns the version of the host list that peers may ask for.
-func (p *Plane) offeredHostList() uint64 {
-	if p.lapses.holds() {
+func (p *Plane) offeredHostList(now time.Time) uint64 {
+	if p.lapses.guesses(now) {
 		return 0
 	}
 	return p.members.List().Version
@@ -74,6 +74,8 @@
 func (p *Plane) compareHostLists(now time.Time, output *Output, from state.HostName, offer Offer) {
 	own := p.members.List().Version
 	switch {
+	case offer.HostListVersion == 0:
+		// The peer has none, or none that proves anything.
 	case offer.HostListVersion > own:
 		if p.sourceTells(p.hostLists) && !p.inquiries.behindHostList(now, own) {
 			return
--- a/coordination/control/output.go
+++ b/coordination/control/output.go
@@ -45,6 +45,8 @@
 	At time.Time
 	// After is the version of the host list that is known.
 	After uint64
-	// Watch asks the platform to hold the read until there is a newer one.
-	Watch bool
+	// Watch asks the platform to hold the read until there is a newer one, but
+	// no longer than to WatchUntil, unless that is zero.
+	Watch      bool
+	WatchUntil time.Time
 }
--- a/coordination/control/plane.go
+++ b/coordination/control/plane.go
@@ -79,9 +79,9 @@
 	case Sightings:
 		p.takeMerged(&output, from, p.members.Merge(now, message.Sightings))
 	case HostList:
-		p.takeHostList(now, &output, from, message.List)
+		p.takePeersHostList(now, &output, from, message.List)
 	case HostListRequest:
-		p.answerHostListRequest(&output, from, message.Have)
+		p.answerHostListRequest(now, &output, from, message.Have)
 	case HostListChanges:
 		p.takeHostListChanges(now, &output, from, message.Changes)
 	case SubtreeStatus:
--- a/coordination/control/source.go
+++ b/coordination/control/source.go
@@ -75,6 +75,9 @@
 		return sourcereading.AnswerNothing
 	case judged > after:
 		return sourcereading.AnswerNews
+	case tickets[len(tickets)-1].Number == after:
+		// A source that holds the newest alone has been read whole.
+		return sourcereading.AnswerNothing
 	default:
 		return sourcereading.AnswerOld
 	}
--- a/transport/controlloop/loop.go
+++ b/transport/controlloop/loop.go
@@ -47,6 +47,8 @@
 	ticketsWoken chan struct{}
 	hostsWoken   chan struct{}
 
+	ticketReads, hostReads *reads
+
 	kept    map[state.HostName]keeping
 	threads sync.WaitGroup
 	cancel  context.CancelFunc
@@ -70,6 +72,8 @@
 		tickWoken:    make(chan struct{}, 1),
 		ticketsWoken: make(chan struct{}, 1),
 		hostsWoken:   make(chan struct{}, 1),
+		ticketReads:  &reads{},
+		hostReads:    &reads{},
 		kept:         make(map[state.HostName]keeping),
 	}
 }
--- a/transport/controlloop/loop_test.go
+++ b/transport/controlloop/loop_test.go
@@ -134,3 +134,48 @@
 		require.Equal(t, 1, strings.Count(log.String(), "msg=node-ready event=102 ticket=1 "), log.String())
 	})
 }
+
+// silentSource swallows the first read of the host list, as a source does that
+// goes away, and fails the first read of the tickets.
+type silentSource struct {
+	mu        sync.Mutex
+	hostReads int
+	tickets   int
+}
+
+func (s *silentSource) Tickets(context.Context, state.TicketNumber, time.Duration) ([]state.Ticket, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tickets++; s.tickets == 1 {
+		return nil, errors.New("refused")
+	}
+	return nil, nil
+}
+
+func (s *silentSource) Hosts(ctx context.Context, _ uint64, _ time.Duration) (state.HostList, error) {
+	s.mu.Lock()
+	s.hostReads++
+	first := s.hostReads == 1
+	s.mu.Unlock()
+	if first {
+		<-ctx.Done()
+		return state.HostList{}, ctx.Err()
+	}
+	return state.HostList{Version: 1, Hosts: []state.Host{{Name: "self", Zone: "north"}}}, nil
+}
+
+func (s *silentSource) hostReadCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hostReads
+}
+
+func TestReadThatASourceHasSwallowedIsGivenUpWhenItIsBack(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		source := &silentSource{}
+		loop, _, _ := startLoop(t, source)
+		time.Sleep(time.Minute)
+		require.Greater(t, source.hostReadCount(), 1)
+		loop.Shutdown()
+	})
+}
--- a/transport/controlloop/reading.go
+++ b/transport/controlloop/reading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,21 +18,23 @@
 }
 
 func (l *Loop) readTickets(ctx context.Context) {
-	var health sourceHealth
 	for {
 		read := l.plane.NextSourceRead(time.Now())
-		switch waitUntil(ctx, health.earliest(read.At), l.ticketsWoken) {
+		switch waitUntil(ctx, l.ticketReads.earliest(read.At), l.ticketsWoken) {
 		case ended:
 			return
 		case woken:
 			continue
 		case due:
 		}
-		tickets, err := l.source.Tickets(ctx, read.After, waitOf(read.Watch))
+		readCtx := l.ticketReads.begin(ctx)
+		tickets, err := l.source.Tickets(readCtx, read.After, waitOf(read.Watch, time.Time{}))
 		if ctx.Err() != nil {
 			return
 		}
-		l.noteHealth(&health, err)
+		if recovered := l.noteHealth(readCtx, l.ticketReads, err); recovered {
+			l.hostReads.giveUp()
+		}
 		if err != nil {
 			l.carryOut(l.plane.SourceFailed(time.Now()))
 			continue
@@ -41,21 +44,23 @@
 }
 
 func (l *Loop) readHosts(ctx context.Context) {
-	var health sourceHealth
 	for {
 		read := l.plane.NextHostListRead(time.Now())
-		switch waitUntil(ctx, health.earliest(read.At), l.hostsWoken) {
+		switch waitUntil(ctx, l.hostReads.earliest(read.At), l.hostsWoken) {
 		case ended:
 			return
 		case woken:
 			continue
 		case due:
 		}
-		list, err := l.source.Hosts(ctx, read.After, waitOf(read.Watch))
+		readCtx := l.hostReads.begin(ctx)
+		list, err := l.source.Hosts(readCtx, read.After, waitOf(read.Watch, read.WatchUntil))
 		if ctx.Err() != nil {
 			return
 		}
-		l.noteHealth(&health, err)
+		if recovered := l.noteHealth(readCtx, l.hostReads, err); recovered {
+			l.ticketReads.giveUp()
+		}
 		if err != nil {
 			l.carryOut(l.plane.HostListFailed(time.Now()))
 			continue
@@ -67,39 +72,77 @@
 	}
 }
 
-func waitOf(watch bool) time.Duration {
-	if watch {
+// waitOf returns how long the source may hold a read: not at all unless it is a
+// watch, which ends at until at the latest when that is set.
+func waitOf(watch bool, until time.Time) time.Duration {
+	switch {
+	case !watch:
+		return 0
+	case until.IsZero():
 		return watchWait
+	default:
+		return min(watchWait, max(0, time.Until(until)))
 	}
-	return 0
 }
 
-// sourceHealth is what one reading thread knows of the source.
-type sourceHealth struct {
+// reads is what a thread that reads the source knows of it. Other threads call
+// giveUp alone.
+type reads struct {
 	failing bool
 	// notBefore is when a throttled source may be read again.
 	notBefore time.Time
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
 }
 
-func (h *sourceHealth) earliest(at time.Time) time.Time {
-	if h.notBefore.After(at) {
-		return h.notBefore
+func (r *reads) earliest(at time.Time) time.Time {
+	if r.notBefore.After(at) {
+		return r.notBefore
 	}
 	return at
 }
 
-// noteHealth logs when the source begins to fail and when it recovers.
-func (l *Loop) noteHealth(health *sourceHealth, err error) {
+// begin returns the context of the next read.
+func (r *reads) begin(ctx context.Context) context.Context {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil {
+		r.cancel()
+	}
+	ctx, r.cancel = context.WithCancel(ctx)
+	return ctx
+}
+
+// giveUp ends the read that goes on, if any. A source that was away may never
+// answer the reads that it had taken before.
+func (r *reads) giveUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil {
+		r.cancel()
+	}
+}
+
+// noteHealth logs when the source begins to fail and when it recovers, and
+// reports whether it has recovered. A read that was given up tells nothing.
+func (l *Loop) noteHealth(readCtx context.Context, reads *reads, err error) (recovered bool) {
+	if readCtx.Err() != nil {
+		return false
+	}
 	var throttled Throttled
 	if errors.As(err, &throttled) {
-		health.notBefore = time.Now().Add(throttled.RetryAfter())
+		reads.notBefore = time.Now().Add(throttled.RetryAfter())
 	}
-	if failing := err != nil; failing != health.failing {
-		health.failing = failing
-		if failing {
-			events.Log(l.logger, events.SourceFailed{Error: err})
-			return
-		}
-		events.Log(l.logger, events.SourceRecovered{})
+	failing := err != nil
+	if failing == reads.failing {
+		return false
+	}
+	reads.failing = failing
+	if failing {
+		events.Log(l.logger, events.SourceFailed{Error: err})
+		return false
 	}
+	events.Log(l.logger, events.SourceRecovered{})
+	return true
 }
