--- a/transport/entry/listener.go
+++ b/transport/entry/listener.go
@@ -16,8 +16,10 @@
 	net.Listener
 	connections *callerConns
 	finishing   atomic.Bool
-	// emptyRounds counts the rounds that found no connection since finish.
-	// Only Accept uses it.
+	// finishBy is when the listener closes at the latest, and emptyRounds the
+	// number of rounds in a row that found no connection since finish. Only
+	// Accept uses them.
+	finishBy    time.Time
 	emptyRounds int
 }
 
@@ -33,10 +35,13 @@
 	// finishRounds is how many such looks in a row have to find none: a process
 	// that is short of processor time may miss the end of one.
 	finishRounds = 3
+	// finishTimeout bounds the looks while connections keep coming.
+	finishTimeout = 150 * time.Millisecond
 )
 
 // Accept returns the next connection that is within the limit. After finish it
-// returns net.ErrClosed once no more connections wait.
+// returns net.ErrClosed once no more connections wait, or when they have kept
+// coming for finishTimeout.
 func (l *callerListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.accept()
@@ -52,8 +57,8 @@
 
 func (l *callerListener) accept() (net.Conn, error) {
 	for {
-		if l.finishing.Load() {
-			l.beginRound()
+		if l.finishing.Load() && !l.beginRound() {
+			return nil, errors.CombineErrors(net.ErrClosed, l.Close())
 		}
 		conn, err := l.Listener.Accept()
 		if err == nil {
@@ -63,20 +68,29 @@
 		if !l.finishing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		if l.emptyRounds++; l.emptyRounds > finishRounds {
-			return nil, errors.CombineErrors(net.ErrClosed, l.Close())
-		}
+		l.emptyRounds++
 	}
 }
 
-func (l *callerListener) beginRound() {
+// beginRound gives the next Accept a deadline. It returns false when the
+// listener is to close.
+func (l *callerListener) beginRound() bool {
+	now := time.Now()
+	if l.finishBy.IsZero() {
+		l.finishBy = now.Add(finishTimeout)
+	}
+	if l.emptyRounds > finishRounds || !now.Before(l.finishBy) {
+		return false
+	}
 	if listener, ok := l.Listener.(deadlineListener); ok {
 		// An error means that the listener is closed, which Accept shows.
-		_ = listener.SetDeadline(time.Now().Add(finishRound))
+		_ = listener.SetDeadline(now.Add(finishRound))
 	}
+	return true
 }
 
-// finish makes Accept end when no connection waits any more.
+// finish makes Accept end when no connection waits any more, or soon when they
+// keep coming.
 func (l *callerListener) finish() {
 	l.finishing.Store(true)
 	if listener, ok := l.Listener.(deadlineListener); ok && listener.SetDeadline(longAgo) == nil {
--- a/transport/entry/server_test.go
+++ b/transport/entry/server_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -204,6 +205,43 @@
 func (l *backlogListener) Close() error   { return nil }
 func (l *backlogListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// endlessListener has a new connection whenever it is asked.
+type endlessListener struct {
+	closed chan struct{}
+	once   *sync.Once
+}
+
+func (l endlessListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-time.After(time.Millisecond):
+	}
+	near, far := net.Pipe()
+	return far, near.Close()
+}
+
+func (l endlessListener) SetDeadline(time.Time) error { return nil }
+func (l endlessListener) Addr() net.Addr              { return &net.TCPAddr{} }
+
+func (l endlessListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func TestShutdownEndsWhileConnectionsKeepComing(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		rig := newServerRig(t, 0)
+		server := entry.NewServer(rig.config, rig.handler)
+		go func() { _ = server.Serve(endlessListener{closed: make(chan struct{}), once: new(sync.Once)}) }()
+		time.Sleep(time.Second)
+		began := time.Now()
+		require.NoError(t, server.Shutdown(t.Context()))
+		require.Less(t, time.Since(began), time.Second)
+		require.NoError(t, rig.server.Close())
+	})
+}
+
 func TestShutdownAnswersRequestsOfConnectionsThatWait(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		rig := newServerRig(t, 0)
