Pick the backend server with the soonest expected answer

Cause: the own availability zone came first until all of it had a round of calls waiting, and then at most half of the calls left it.

Change: each candidate has a cost in time: the usual service time of the route times the pace of the backend server, the wait for a slot, a little for a full one and for failures, and for the way to another zone 2 ms and 2 ms a KiB of the route's usual answer. Picks go to the nearest among those that cost hardly more than the cheapest; of two, to the less loaded. Guards tell how long a call ran.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -47,6 +47,9 @@
 	// ResultShed means that the backend server declined the call as it had
 	// too much work, as with status 503 or 429.
 	ResultShed
+	// ResultFailed means that the backend server answered with a failure of its
+	// own, which may have come much sooner than an answer.
+	ResultFailed
 	// ResultBroken means that the call ended early, as when its caller went
 	// away or the connection was lost. It says nothing about the load.
 	ResultBroken
--- a/coordination/admission/grant.go
+++ b/coordination/admission/grant.go
@@ -140,6 +140,8 @@
 			return
 		}
 		g.limit.increase()
+	case ResultFailed:
+		g.limit.increase()
 	case ResultBroken:
 	}
 }
--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -62,7 +62,10 @@
 	// ContentLength is the length of the body in bytes, or -1 when the body
 	// ends with an end marker.
 	ContentLength int64
-	Load          LoadHint
+	// ServiceTime is how long the backend server took, the wait for a slot not
+	// included; 0 when it is not known.
+	ServiceTime time.Duration
+	Load        LoadHint
 }
 
 // LoadHint tells entry nodes how busy a backend server is. It guides a pick
--- a/coordination/picking/config.go
+++ b/coordination/picking/config.go
@@ -13,11 +13,13 @@
 
 // Defaults of Config.
 const (
-	DefaultHintHalfLife  = time.Second
-	DefaultMaxSpillShare = 0.5
-	DefaultBasePushOut   = 200 * time.Millisecond
-	DefaultMaxPushOut    = 30 * time.Second
-	DefaultDrainMemory   = time.Minute
+	DefaultHintHalfLife    = time.Second
+	DefaultZoneDelay       = 2 * time.Millisecond
+	DefaultZoneDelayPerKiB = 2 * time.Millisecond
+	DefaultRegionDelay     = 50 * time.Millisecond
+	DefaultBasePushOut     = 200 * time.Millisecond
+	DefaultMaxPushOut      = 30 * time.Second
+	DefaultDrainMemory     = time.Minute
 )
 
 // coldWeight is the weight of a backend server that has just come back.
@@ -27,6 +29,37 @@
 // still slow after its start.
 const slowWeight = 0.5
 
+// Weights in the time that a call is expected to take, in service times.
+const (
+	// loadWeight is what all slots in use add, as backend servers slow down when
+	// they are nearly full. It begins when they are half full.
+	loadWeight = 0.2
+	halfFull   = 0.5
+	// failureWeight is what a backend server adds that fails all its calls.
+	failureWeight = 3
+	// tieShare is the share of the least cost within which candidates count as
+	// equal.
+	tieShare = 0.05
+)
+
+// failingWeight is the weight of a new answer in the share of failures, and
+// failingHalfLife the time in which the share fades to half: one that gets no
+// calls any more may be well again.
+const (
+	failingWeight   = 1.0 / 16
+	failingHalfLife = 3 * time.Second
+)
+
+// paceWeight is the weight of a new answer in the pace of a backend server, and
+// maxPace bounds what a single one can say.
+const (
+	paceWeight = 1.0 / 16
+	maxPace    = 4
+)
+
+// defaultServiceTime is assumed on a route without answers yet.
+const defaultServiceTime = 100 * time.Millisecond
+
 // Config holds the settings of a Picker.
 type Config struct {
 	// Zone is the availability zone of this node.
@@ -34,14 +67,20 @@
 	// Region is the region of this node.
 	Region state.Region
 	// Regions tells the region of a host. Without it, all other availability
-	// zones count as equally far.
+	// zones count as near.
 	Regions HostRegions
 	// HintHalfLife is the time in which a load hint loses half of its weight.
 	// A longer time trusts older hints. Default 1 second.
 	HintHalfLife time.Duration
-	// MaxSpillShare bounds the share of the calls that leave the availability
-	// zone while it has backend servers that can take calls. Default 0.5.
-	MaxSpillShare float64
+	// ZoneDelay is how much longer a call may take in the own availability zone
+	// before another one is preferred, ZoneDelayPerKiB the same for each KiB
+	// of its bodies. Longer ones save traffic between availability zones and
+	// balance less. Default 2 ms each.
+	ZoneDelay       time.Duration
+	ZoneDelayPerKiB time.Duration
+	// RegionDelay is the same for another region, beside ZoneDelay. Default
+	// 50 ms.
+	RegionDelay time.Duration
 	// BasePushOut bounds the time for which a backend server is left out
 	// after a first failure. The bound doubles with each failure in a row, and
 	// the time is drawn evenly from 0 to the bound. Default 200 ms.
@@ -71,8 +110,14 @@
 	if c.HintHalfLife == 0 {
 		c.HintHalfLife = DefaultHintHalfLife
 	}
-	if c.MaxSpillShare == 0 {
-		c.MaxSpillShare = DefaultMaxSpillShare
+	if c.ZoneDelay == 0 {
+		c.ZoneDelay = DefaultZoneDelay
+	}
+	if c.ZoneDelayPerKiB == 0 {
+		c.ZoneDelayPerKiB = DefaultZoneDelayPerKiB
+	}
+	if c.RegionDelay == 0 {
+		c.RegionDelay = DefaultRegionDelay
 	}
 	if c.BasePushOut == 0 {
 		c.BasePushOut = DefaultBasePushOut
--- a/coordination/picking/picking.go
+++ b/coordination/picking/picking.go
@@ -17,6 +17,7 @@
 	config Config
 	hosts  HostPhases
 	sights *state.ShardedMap[state.BackendServerName, sight]
+	routes routes
 	random lockedRandom
 }
 
@@ -26,23 +27,27 @@
 		config: config.withDefaults(),
 		hosts:  hosts,
 		sights: state.NewShardedMap[state.BackendServerName, sight](state.DefaultShardCount),
+		routes: newRoutes(),
 		random: lockedRandom{random: random},
 	}
 }
 
-// Pick returns a backend server of service that is not in tried.
+// Pick returns the backend server for a call of head.Service that is not in
+// tried: one from which the answer is expected soonest, when what the way to
+// it costs is counted in.
 func (p *Picker) Pick(
 	now time.Time,
 	snapshot *state.Snapshot,
-	service state.ServiceName,
+	head call.Head,
 	tried []state.BackendServerName,
 ) (state.BackendServer, *state.Refusal) {
-	settings, _ := snapshot.Service(service)
-	candidates := p.choose(p.tiers(now, snapshot.BackendServersOf(service), tried, settings.SlowStart))
+	settings, _ := snapshot.Service(head.Service)
+	candidates := p.candidates(now, snapshot.BackendServersOf(head.Service), tried)
 	if len(candidates) == 0 {
 		return state.BackendServer{}, noBackendServer()
 	}
-	picked := p.lessLoaded(candidates)
+	p.price(now, candidates, head, settings.SlowStart)
+	picked := p.cheapest(candidates)
 	p.sights.Update(picked.Name, func(seen sight, _ bool) (sight, bool) {
 		return seen.withPick(now, p.config.HintHalfLife), true
 	})
@@ -75,6 +80,28 @@
 	return state.BackendServer{}, noBackendServer()
 }
 
+// Answer is what an answer of a backend server shows of it and of the route.
+type Answer struct {
+	// Bytes is the length of the body, negative when it is not known.
+	Bytes int64
+	// ServiceTime is how long the backend server took; 0 when it is not known.
+	ServiceTime time.Duration
+	// Failed says that the answer was a failure of the backend server's own.
+	Failed bool
+}
+
+// ObserveAnswer learns from the answer of head.BackendServer to a call.
+func (p *Picker) ObserveAnswer(now time.Time, head call.Head, answer Answer) {
+	pace, known := p.routes.observe(head.Route, answer)
+	p.sights.Update(head.BackendServer, func(seen sight, _ bool) (sight, bool) {
+		seen = seen.withAnswer(now, answer.Failed)
+		if known {
+			seen = seen.withPace(pace)
+		}
+		return seen, true
+	})
+}
+
 // Observe records the load hint of a reply or refusal. It ends the time for
 // which the backend server is left out.
 func (p *Picker) Observe(now time.Time, load call.LoadHint) {
@@ -118,20 +145,6 @@
 	return seen
 }
 
-// lessLoaded compares two candidates drawn at random.
-func (p *Picker) lessLoaded(candidates tier) state.BackendServer {
-	i := p.random.intN(len(candidates))
-	first := candidates[i]
-	if len(candidates) == 1 {
-		return *first.server
-	}
-	second := candidates[(i+1+p.random.intN(len(candidates)-1))%len(candidates)]
-	if second.score < first.score {
-		return *second.server
-	}
-	return *first.server
-}
-
 func noBackendServer() *state.Refusal {
 	return state.NotRun(state.RefusedNoBackendServer, "no backend server of the service can take the call")
 }
--- a/coordination/picking/sight.go
+++ b/coordination/picking/sight.go
@@ -28,6 +28,12 @@
 
 	failures  int
 	pushedOut time.Time
+	// pace is how long calls take there as a multiple of what is usual on
+	// their routes; 0 when it is not known.
+	pace float64
+	// failing is the share of the recent answers that were failures. It fades.
+	failing   float64
+	failingAt time.Time
 }
 
 func fade(value float64, age, halfLife time.Duration) float64 {
@@ -40,16 +46,8 @@
 	return fade(hinted, now.Sub(s.observed), halfLife) + fade(s.picked, now.Sub(s.pickedAt), halfLife)
 }
 
-// saturated reports whether a fresh hint says that a whole round of calls is
-// waiting for slots.
-func (s sight) saturated(now time.Time, halfLife time.Duration) bool {
-	fresh := now.Sub(s.observed) <= halfLife
-	return fresh && s.hint.Waiting > 0 && s.hint.Waiting >= s.hint.Slots
-}
-
-// score is the load for each slot, with the next call counted in. Less is
-// better.
-func (s sight) score(now time.Time, server *state.BackendServer, slowStart, halfLife time.Duration) float64 {
+// rounds is the load for each slot, with the next call counted in.
+func (s sight) rounds(now time.Time, server *state.BackendServer, slowStart, halfLife time.Duration) float64 {
 	slots := float64(server.Slots)
 	if now.Sub(s.observed) <= halfLife && s.hint.Slots > 0 {
 		slots = float64(s.hint.Slots)
@@ -60,6 +58,18 @@
 	return (s.load(now, halfLife) + 1) / max(1, slots*s.warmth(now, slowStart))
 }
 
+// expectedTime estimates how long the next call takes there, with the wait for
+// a slot. usual is how long a usual backend server takes for it.
+func (s sight) expectedTime(now time.Time, rounds float64, usual time.Duration) time.Duration {
+	service := float64(usual)
+	if s.pace > 0 {
+		service *= s.pace
+	}
+	wait := max(0, rounds-1)
+	fullness := min(1, max(0, rounds-halfFull)/(1-halfFull))
+	return time.Duration((1 + wait + loadWeight*fullness + failureWeight*s.failureShare(now)) * service)
+}
+
 func (s sight) warmth(now time.Time, slowStart time.Duration) float64 {
 	if s.returned.IsZero() || slowStart <= 0 {
 		return 1
@@ -91,6 +101,31 @@
 	return s
 }
 
+// withAnswer takes over whether an answer was a failure.
+func (s sight) withAnswer(now time.Time, failed bool) sight {
+	var failure float64
+	if failed {
+		failure = 1
+	}
+	s.failing = s.failureShare(now)
+	s.failing += (failure - s.failing) * failingWeight
+	s.failingAt = now
+	return s
+}
+
+// withPace takes over how long a call took.
+func (s sight) withPace(pace float64) sight {
+	if s.pace == 0 {
+		s.pace = 1
+	}
+	s.pace += (min(pace, maxPace) - s.pace) * paceWeight
+	return s
+}
+
+func (s sight) failureShare(now time.Time) float64 {
+	return fade(s.failing, now.Sub(s.failingAt), failingHalfLife)
+}
+
 func (s sight) withDraining(now time.Time) sight {
 	if !s.draining() {
 		s.left = false
--- a/protocol/callwire/head.go
+++ b/protocol/callwire/head.go
@@ -93,6 +93,7 @@
 		Status:        uint32(head.Status),
 		Fields:        encodeFields(head.Fields),
 		ContentLength: head.ContentLength,
+		ServiceNanos:  int64(head.ServiceTime),
 		Load:          encodeLoad(head.Load),
 	}
 }
@@ -104,6 +105,7 @@
 		Status:        int(message.GetStatus()),
 		Fields:        decodeFields(message.GetFields()),
 		ContentLength: message.GetContentLength(),
+		ServiceTime:   max(0, time.Duration(message.GetServiceNanos())),
 		Load:          decodeLoad(message.GetLoad()),
 	}
 }
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"time"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
+	"github.com/wasabiport/wasabiport/coordination/picking"
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/protocol/handshake"
 	"github.com/wasabiport/wasabiport/state"
@@ -41,7 +43,7 @@
 			Took:          time.Since(asked),
 			Refusal:       answer.Refusal,
 		})
-		h.observe(server.Name, answer)
+		h.observe(head, answer)
 		if answer.Reply != nil {
 			return answer.Reply, nil
 		}
@@ -72,20 +74,27 @@
 	tried []state.BackendServerName,
 ) (state.BackendServer, *state.Refusal) {
 	if !retry.Keyed(head) {
-		return h.decisions.Picker.Pick(time.Now(), snapshot, head.Service, tried)
+		return h.decisions.Picker.Pick(time.Now(), snapshot, head, tried)
 	}
 	key := keyowner.Key{Caller: head.Caller, Value: head.IdempotencyKey}
 	return h.decisions.Picker.PickKeyed(snapshot, head.Service, key, tried)
 }
 
-func (h *Handler) observe(server state.BackendServerName, answer callstream.Answer) {
+func (h *Handler) observe(head call.Head, answer callstream.Answer) {
 	now := time.Now()
 	if answer.Load.BackendServer != "" {
 		h.decisions.Picker.Observe(now, answer.Load)
 	}
 	if answer.Refusal != nil {
-		h.decisions.Picker.ObserveRefusal(now, server, answer.Refusal)
+		h.decisions.Picker.ObserveRefusal(now, head.BackendServer, answer.Refusal)
+		return
 	}
+	reply := answer.Reply.Head
+	h.decisions.Picker.ObserveAnswer(now, head, picking.Answer{
+		Bytes:       reply.ContentLength,
+		ServiceTime: reply.ServiceTime,
+		Failed:      reply.Status >= http.StatusInternalServerError,
+	})
 }
 
 // decide says what follows a refusal. A body of which the guard has got a part
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -55,7 +55,7 @@
 	}
 	release := func(result admission.Result) {
 		g.inFlight.remove(head.ID)
-		if alone && result == admission.ResultAnswered {
+		if alone && (result == admission.ResultAnswered || result == admission.ResultFailed) {
 			g.suspects.Survived(time.Now(), head.Fingerprint)
 		}
 		g.admission.ReleaseAfter(time.Now(), pass, result)
@@ -65,11 +65,13 @@
 		return nil, refusal
 	}
 	g.inFlight.add(head.ID, head.Fingerprint)
+	began := time.Now()
 	reply, refusal := g.run(runCtx, head, body, beforeSend, release)
 	if refusal != nil {
 		release(admission.ResultBroken)
 		return nil, refusal
 	}
+	reply.Head.ServiceTime = time.Since(began)
 	reply.Head.Load = g.admission.Load()
 	return reply, nil
 }
--- a/transport/guard/reply.go
+++ b/transport/guard/reply.go
@@ -30,6 +30,10 @@
 		cut:        cut,
 		release:    release,
 		result:     admission.ResultBroken,
+		whole:      admission.ResultAnswered,
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		body.whole = admission.ResultFailed
 	}
 	if shed {
 		body.result = admission.ResultShed
@@ -62,8 +66,11 @@
 	io.ReadCloser
 	cut     func()
 	release func(admission.Result)
-	result  admission.Result
-	once    sync.Once
+	// result says how the call has ended so far, and whole how it ends when
+	// the body is read to its end.
+	result, whole admission.Result
+
+	once sync.Once
 }
 
 func (b *releasingBody) Read(p []byte) (int, error) {
@@ -73,7 +80,7 @@
 	case !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		b.cut()
 	case b.result == admission.ResultBroken:
-		b.result = admission.ResultAnswered
+		b.result = b.whole
 	}
 	return n, err
 }
