Tell refused calls to come back later the longer an overload lasts

Cause: a call that was refused for want of slots came back after 100 ms, was refused again, and had no attempt left when slots were free.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -21,6 +21,8 @@
 	floors  floors
 	times   [state.ClassCount]serviceTime
 
+	overloads [state.ClassCount]overload
+
 	queues [state.ClassCount]*classQueue
 	// waiting holds the passes of all queues.
 	waiting waitingHeap
@@ -224,7 +226,7 @@
 			continue
 		}
 		g.unqueue(pass)
-		pass.refuse(notRunTooLate())
+		pass.refuse(g.notRunTooLate(now, pass))
 	}
 }
 
--- a/coordination/admission/gate_test.go
+++ b/coordination/admission/gate_test.go
@@ -277,3 +277,32 @@
 }
 
 func callerName(i int) state.CallerName { return state.CallerName(fmt.Sprintf("caller-%d", i)) }
+
+// TestRefusedCallsComeBackLaterTheLongerAnOverloadLasts fills the queue of a
+// class and has calls of it come all the time.
+func TestRefusedCallsComeBackLaterTheLongerAnOverloadLasts(t *testing.T) {
+	gate := newGate()
+	fill(t, gate, epoch)
+	refused := func(now time.Time) time.Duration {
+		for {
+			pass := gate.Request(now, headOf(state.ClassHigh, "a"))
+			if decided(pass) {
+				requireRefused(t, pass, state.RefusedQueueFull)
+				return pass.Refusal().RetryAfter
+			}
+		}
+	}
+	require.Equal(t, 300*time.Millisecond, refused(epoch))
+	now := epoch
+	for range 15 {
+		now = now.Add(100 * time.Millisecond)
+		refused(now)
+	}
+	require.Equal(t, 1500*time.Millisecond, refused(now))
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		refused(now)
+	}
+	require.Equal(t, 2*time.Second, refused(now))
+	require.Equal(t, 300*time.Millisecond, refused(now.Add(5*time.Second)), "the overload was over")
+}
--- a/coordination/admission/grant.go
+++ b/coordination/admission/grant.go
@@ -86,7 +86,7 @@
 		if !overloaded || now.Before(pass.wanted.Add(-service)) {
 			return pass
 		}
-		pass.refuse(notRunTooLate())
+		pass.refuse(g.notRunTooLate(now, pass))
 	}
 	return nil
 }
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -41,9 +41,9 @@
 		pass.limitWait(g.times[pass.class].nearlyAll(), false)
 	}
 	if !now.Add(g.estimateWait(now, pass)).Before(pass.startBy) {
-		return notRunTooLate()
+		return g.notRunTooLate(now, pass)
 	}
-	return g.makeRoom(pass)
+	return g.makeRoom(now, pass)
 }
 
 // canRunNow reports whether a new pass gets a slot without waiting.
@@ -70,27 +70,27 @@
 // makeRoom returns a refusal when the queue of the pass's class is full. A
 // caller with fewer waiting calls than another of the same class takes the
 // place of that one's newest call.
-func (g *Gate) makeRoom(pass *Pass) *state.Refusal {
+func (g *Gate) makeRoom(now time.Time, pass *Pass) *state.Refusal {
 	queueLimit := g.service.QueueLimits[pass.class]
 	if pass.alone {
 		if g.solitary.Len() < max(1, queueLimit) {
 			return nil
 		}
-		return notRunQueueFull()
+		return g.notRunQueueFull(now, pass)
 	}
 	queue := g.queues[pass.class]
 	if queue.size < queueLimit {
 		return nil
 	}
 	if queue.size == 0 {
-		return notRunQueueFull()
+		return g.notRunQueueFull(now, pass)
 	}
 	newest := queue.last()
 	if queue.waitingOf(pass.caller)+1 >= queue.waitingOf(newest.caller) {
-		return notRunQueueFull()
+		return g.notRunQueueFull(now, pass)
 	}
 	g.unqueue(newest)
-	newest.refuse(notRunQueueFull())
+	newest.refuse(g.notRunQueueFull(now, newest))
 	return nil
 }
 
@@ -98,10 +98,17 @@
 	return state.NotRun(state.RefusedDraining, "the backend server takes no new calls")
 }
 
-func notRunTooLate() *state.Refusal {
-	return state.NotRun(state.RefusedDeadline, "the call can't be answered in time")
+func (g *Gate) notRunTooLate(now time.Time, pass *Pass) *state.Refusal {
+	return g.notRunOverloaded(now, pass, state.RefusedDeadline, "the call can't be answered in time")
 }
 
-func notRunQueueFull() *state.Refusal {
-	return state.NotRun(state.RefusedQueueFull, "the queue of the priority class is full")
+func (g *Gate) notRunQueueFull(now time.Time, pass *Pass) *state.Refusal {
+	return g.notRunOverloaded(now, pass, state.RefusedQueueFull, "the queue of the priority class is full")
+}
+
+// notRunOverloaded refuses a pass for want of slots.
+func (g *Gate) notRunOverloaded(now time.Time, pass *Pass, reason state.RefusalReason, detail string) *state.Refusal {
+	refusal := state.NotRun(reason, detail)
+	refusal.RetryAfter = g.overloads[pass.class].refused(now)
+	return refusal
 }
--- a/coordination/picking/config.go
+++ b/coordination/picking/config.go
@@ -15,7 +15,7 @@
 const (
 	DefaultHintHalfLife    = time.Second
 	DefaultZoneDelay       = 2 * time.Millisecond
-	DefaultZoneDelayPerKiB = 2 * time.Millisecond
+	DefaultZoneDelayPerKiB = 4 * time.Millisecond
 	DefaultRegionDelay     = 50 * time.Millisecond
 	DefaultBasePushOut     = 200 * time.Millisecond
 	DefaultMaxPushOut      = 30 * time.Second
@@ -75,7 +75,7 @@
 	// ZoneDelay is how much longer a call may take in the own availability zone
 	// before another one is preferred, ZoneDelayPerKiB the same for each KiB
 	// of its bodies. Longer ones save traffic between availability zones and
-	// balance less. Default 2 ms each.
+	// balance less. Default 2 ms and 4 ms.
 	ZoneDelay       time.Duration
 	ZoneDelayPerKiB time.Duration
 	// RegionDelay is the same for another region, beside ZoneDelay. Default
