Tell in a call's line what the call went by, and count what is left out

Event 510 has the age of the configuration, the version and age of the backend servers and the time that the caller had left, also when no route matched (found by the new test: the line named ticket 0). Metrics: lines left out and dropped, retry budget by service, age of the host list. Event 108 names the settings at the start.

--- a/config.go
+++ b/config.go
@@ -96,6 +96,9 @@
 	Plaintext bool
 	// Logger takes the events of the node. Default none.
 	Logger logr.Logger
+	// DroppedLogLines returns how many lines of Logger were lost, for the
+	// metrics. Default nil, which counts none.
+	DroppedLogLines func() int64
 }
 
 // Adapter holds what a program supplies that embeds a node on a platform of
--- a/coordination/control/source.go
+++ b/coordination/control/source.go
@@ -66,6 +66,13 @@
 	return max(0, age), age != NeverConfirmed
 }
 
+// HostListStaleness returns the same for the host list and the backend servers
+// that register themselves.
+func (p *Plane) HostListStaleness(now time.Time) (time.Duration, bool) {
+	age := ageOf(now, p.hostLists.ConfirmedAt())
+	return max(0, age), age != NeverConfirmed
+}
+
 // classifyTickets tells what an answer to a read after a number has brought,
 // by how far the node has come since. An answer that brings it no further has
 // only old tickets, or some that wait behind a gap.
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -69,6 +69,16 @@
 	return spent
 }
 
+// Balances returns the retries that may be made now, by service.
+func (b *Budget) Balances() map[state.ServiceName]float64 {
+	balances := make(map[state.ServiceName]float64)
+	b.balances.Range(func(service state.ServiceName, balance float64) bool {
+		balances[service] = balance
+		return true
+	})
+	return balances
+}
+
 func (b *Budget) start(balance float64, present bool) float64 {
 	if present || b.config.Nodes != nil {
 		return balance
--- a/providers.go
+++ b/providers.go
@@ -40,11 +40,18 @@
 
 func newSnapshotStore() *state.SnapshotStore { return state.NewSnapshotStore(snapshotShardCount) }
 
-func newRegistry() (*prometheus.Registry, error) {
+func newRegistry(config Config) (*prometheus.Registry, error) {
 	registry := prometheus.NewRegistry()
 	if err := registry.Register(collectors.NewGoCollector()); err != nil {
 		return nil, errors.Wrap(err, "register runtime metrics")
 	}
+	dropped := config.DroppedLogLines
+	if dropped == nil {
+		dropped = func() int64 { return 0 }
+	}
+	if err := metrics.RegisterDroppedLines(registry, dropped); err != nil {
+		return nil, err
+	}
 	return registry, nil
 }
 
@@ -134,7 +141,12 @@
 	return guard.New(config.Self.Name, back, snapshots, decisions, zone, config.Network, logger)
 }
 
-func newCallObserver(registry *prometheus.Registry, guard *guard.Guard, logger logr.Logger) (*calllog.Observer, error) {
+func newCallObserver(
+	registry *prometheus.Registry,
+	guard *guard.Guard,
+	plane *control.Plane,
+	logger logr.Logger,
+) (*calllog.Observer, error) {
 	if err := metrics.RegisterGates(registry, guard); err != nil {
 		return nil, err
 	}
@@ -142,7 +154,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return calllog.New(calls, logger), nil
+	leftOut, err := metrics.NewCallLinesLeftOut(registry)
+	if err != nil {
+		return nil, err
+	}
+	return calllog.New(calls, plane, leftOut, logger), nil
 }
 
 func newDecisions(config Config, picker *picking.Picker, plane *control.Plane) entry.Decisions {
@@ -203,10 +219,14 @@
 	handler *entry.Handler,
 	callers *entry.Server,
 	registry *prometheus.Registry,
+	decisions entry.Decisions,
 ) (*Node, error) {
 	if err := metrics.RegisterDistribution(registry, plane); err != nil {
 		return nil, err
 	}
+	if err := metrics.RegisterBudget(registry, decisions.Budget); err != nil {
+		return nil, err
+	}
 	node := &Node{
 		config:    config,
 		snapshots: snapshots,
--- a/transport/calllog/calllog.go
+++ b/transport/calllog/calllog.go
@@ -18,22 +18,44 @@
 
 // Bounds of the lines that a node logs on calls.
 const (
-	linesPerSecond = 20
-	burstLines     = 100
+	linesPerSecond = 100
+	burstLines     = 500
 )
 
+// Ages tells how old what a call went by is.
+type Ages interface {
+	// Staleness returns the time since the source has confirmed the
+	// configuration, or false when it never has.
+	Staleness(now time.Time) (time.Duration, bool)
+	// HostListStaleness does the same for the backend servers.
+	HostListStaleness(now time.Time) (time.Duration, bool)
+}
+
+// Counter counts lines that were left out.
+type Counter interface{ Inc() }
+
 // Observer logs calls and passes them on to another observer.
 type Observer struct {
 	entry.Observer
+	ages    Ages
 	logger  logr.Logger
 	limiter *rate.Limiter
+	// total counts all lines that were left out.
+	total Counter
 	// leftOut counts the lines that were not written since the last one.
 	leftOut atomic.Int64
 }
 
-// New returns an observer that passes on to next.
-func New(next entry.Observer, logger logr.Logger) *Observer {
-	return &Observer{Observer: next, logger: logger, limiter: rate.NewLimiter(linesPerSecond, burstLines)}
+// New returns an observer that passes on to next and counts the lines that it
+// leaves out with leftOut.
+func New(next entry.Observer, ages Ages, leftOut Counter, logger logr.Logger) *Observer {
+	return &Observer{
+		Observer: next,
+		ages:     ages,
+		logger:   logger,
+		limiter:  rate.NewLimiter(linesPerSecond, burstLines),
+		total:    leftOut,
+	}
 }
 
 // Ended logs a call if it did not simply go well.
@@ -42,16 +64,24 @@
 	if ended.Reason == 0 && !ended.Cut && len(ended.Attempts) <= 1 {
 		return
 	}
-	if !o.limiter.AllowN(time.Now(), 1) {
+	now := time.Now()
+	if !o.limiter.AllowN(now, 1) {
 		o.leftOut.Add(1)
+		o.total.Inc()
 		return
 	}
 	events.Log(o.logger, events.CallEnded{
-		Call:     ended.ID,
-		Route:    ended.Route,
-		Class:    ended.Class,
-		Ticket:   ended.Ticket,
-		Took:     ended.Took.Round(time.Microsecond),
+		Call:   ended.ID,
+		Route:  ended.Route,
+		Class:  ended.Class,
+		Ticket: ended.Ticket,
+		Took:   ended.Took.Round(time.Microsecond),
+		Left:   ended.Left.Round(time.Millisecond),
+
+		TicketAge:   ageOf(o.ages.Staleness(now)),
+		Registry:    ended.Registry,
+		RegistryAge: ageOf(o.ages.HostListStaleness(now)),
+
 		Outcome:  outcome(ended),
 		Reason:   reason(ended),
 		Detail:   ended.Detail,
@@ -60,6 +90,13 @@
 	})
 }
 
+func ageOf(age time.Duration, known bool) string {
+	if !known {
+		return "never"
+	}
+	return age.Round(time.Millisecond).String()
+}
+
 func outcome(ended entry.Ended) string {
 	if ended.Cut {
 		return "cut"
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -74,8 +74,13 @@
 	// Reason is 0 when the call was answered. Detail says more.
 	Reason state.RefusalReason
 	Detail string
-	// Ticket is the number of the configuration that the call went by.
-	Ticket state.TicketNumber
+	// Ticket is the number of the configuration that the call went by, and
+	// Registry the version of the backend servers.
+	Ticket   state.TicketNumber
+	Registry uint64
+	// Left is the time that the caller said it had left when the call came; 0
+	// when it did not say.
+	Left time.Duration
 	// Attempts are what became of the attempts, in order.
 	Attempts []Attempt
 	// Cut says that the answer could not be given whole.
@@ -236,13 +241,14 @@
 		return state.NotRun(state.RefusedNotReady, "the node is not ready: "+waitsFor)
 	}
 	snapshot := h.snapshots.Load()
+	ended.Ticket, ended.Registry, ended.Left = snapshot.Accepted(), snapshot.Registry().Version(), request.Remaining
 	route, ok := routing.Match(snapshot, request.Host, request.Path, request.Method)
 	if !ok {
 		return state.NotRun(state.RefusedNoRoute, "no route matches the request")
 	}
 	service := routing.Service(route, h.decisions.Picker.Draw())
 	head := newHead(time.Now(), ended.ID, snapshot.Accepted(), route, service, request)
-	ended.Route, ended.Class, ended.Caller, ended.Ticket = head.Route, head.Class, head.Caller, head.Ticket
+	ended.Route, ended.Class, ended.Caller = head.Route, head.Class, head.Caller
 	if refusal := h.decisions.Limits.Begin(time.Now(), head.Caller, route); refusal != nil {
 		return retry.Unasked(head, refusal)
 	}
--- a/transport/events/call.go
+++ b/transport/events/call.go
@@ -8,14 +8,22 @@
 
 // CallEnded is logged for a call that did not simply go well.
 type CallEnded struct {
-	Call    state.CallID        `event:"call"`
-	Route   state.RouteName     `event:"route"`
-	Class   state.PriorityClass `event:"class"`
-	Ticket  state.TicketNumber  `event:"ticket"`
-	Took    time.Duration       `event:"took"`
-	Outcome string              `event:"outcome"`
-	Reason  string              `event:"reason"`
-	Detail  string              `event:"detail"`
+	Call  state.CallID        `event:"call"`
+	Route state.RouteName     `event:"route"`
+	Class state.PriorityClass `event:"class"`
+	// Ticket is the configuration that the call went by, and Registry the
+	// version of the backend servers; the ages are the times since the source
+	// has confirmed them, or "never".
+	Ticket      state.TicketNumber `event:"ticket"`
+	TicketAge   string             `event:"ticket_age"`
+	Registry    uint64             `event:"registry"`
+	RegistryAge string             `event:"registry_age"`
+	// Left is the time that the caller said it had left when the call came.
+	Left    time.Duration `event:"left"`
+	Took    time.Duration `event:"took"`
+	Outcome string        `event:"outcome"`
+	Reason  string        `event:"reason"`
+	Detail  string        `event:"detail"`
 	// Attempts names each backend server that was asked, how long it took and
 	// what came of it.
 	Attempts string `event:"attempts"`
@@ -26,5 +34,5 @@
 
 // Kind returns the description of the event.
 func (CallEnded) Kind() Kind {
-	return Kind{510, LevelInfo, "call-ended", "A call was refused, failed, was cut or took several attempts. At most 20 lines a second; left_out counts the others."}
+	return Kind{510, LevelInfo, "call-ended", "A call was refused, failed, was cut or took several attempts. At most 100 lines a second; left_out counts the others."}
 }
--- a/transport/events/catalogue.go
+++ b/transport/events/catalogue.go
@@ -10,6 +10,7 @@
 		NodePaused{},
 		SettingsReloaded{},
 		SettingsRejected{},
+		SettingsInForce{},
 		TicketAccepted{},
 		TicketRejected{},
 		TicketGap{},
--- a/transport/events/node.go
+++ b/transport/events/node.go
@@ -74,6 +74,30 @@
 	return Kind{106, LevelInfo, "settings-reloaded", "The settings were read again; of the fields that have changed, those that may change while the node runs are in force."}
 }
 
+// SettingsInForce is logged at the start of a node on a platform that hands it
+// its settings.
+type SettingsInForce struct {
+	Node    string `event:"node"`
+	Service string `event:"service"`
+	// Source is the address of the platform's store.
+	Source string `event:"source"`
+	// Cores and MemoryMB limit the runtime.
+	Cores    int   `event:"cores"`
+	MemoryMB int64 `event:"memory_mb"`
+	// Grace is the time between the request to end and the end by force.
+	Grace time.Duration `event:"grace"`
+	// RetryShare and RetrySlack are the retry budget of the fleet.
+	RetryShare  float64 `event:"retry_share"`
+	RetrySlack  float64 `event:"retry_slack"`
+	PeerPort    int     `event:"peer_port"`
+	MetricsPort int     `event:"metrics_port"`
+}
+
+// Kind returns the description of the event.
+func (SettingsInForce) Kind() Kind {
+	return Kind{108, LevelInfo, "settings-in-force", "The settings that the node goes by from its start on."}
+}
+
 // SettingsRejected is logged when changed settings can't be used.
 type SettingsRejected struct {
 	Error error `event:"error"`
--- a/transport/metrics/distribution.go
+++ b/transport/metrics/distribution.go
@@ -18,6 +18,8 @@
 	// Staleness returns the time since the source has confirmed the
 	// configuration in force, or false when it never has.
 	Staleness(now time.Time) (time.Duration, bool)
+	// HostListStaleness returns the same for the host list.
+	HostListStaleness(now time.Time) (time.Duration, bool)
 }
 
 // distribution collects how far the node has come when it is asked for.
@@ -27,6 +29,7 @@
 	inForce   *prometheus.Desc
 	ready     *prometheus.Desc
 	staleness *prometheus.Desc
+	hostsAge  *prometheus.Desc
 }
 
 // RegisterDistribution registers the metrics of a control plane.
@@ -38,6 +41,7 @@
 		inForce:   describe("wasabiport_ticket_in_force", "Number of the latest accepted ticket, which is in force on this node."),
 		ready:     describe("wasabiport_ready", "1 when this node serves callers, 0 when it does not."),
 		staleness: describe("wasabiport_source_confirmed_age_seconds", "Time since the platform has confirmed the configuration in force, here or at a node that passed it on. Absent when it never has."),
+		hostsAge:  describe("wasabiport_host_list_confirmed_age_seconds", "Time since the platform has confirmed the hosts and backend servers, here or at a node that passed them on. Absent when it never has."),
 	}
 	return errors.Wrap(registry.Register(collector), "register the metrics of distribution")
 }
@@ -48,6 +52,7 @@
 	descs <- d.inForce
 	descs <- d.ready
 	descs <- d.staleness
+	descs <- d.hostsAge
 }
 
 // Collect reads the control plane.
@@ -67,4 +72,7 @@
 	if age, known := d.plane.Staleness(now); known {
 		gauge(d.staleness, age.Seconds())
 	}
+	if age, known := d.plane.HostListStaleness(now); known {
+		gauge(d.hostsAge, age.Seconds())
+	}
 }
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -39,7 +39,7 @@
 	}
 	wasabiportPeerHandler := newPeerHandler(loop, guard)
 	limiter := newHandshakeLimiter(config)
-	registry, err := newRegistry()
+	registry, err := newRegistry(config)
 	if err != nil {
 		return nil, err
 	}
@@ -50,13 +50,13 @@
 	pool := peering.NewPool(peeringConfig, network, wasabiportPeerSecurity, wasabiportPeerHandler, limiter, metrics)
 	picker := newPicker(config, plane)
 	entryDecisions := newDecisions(config, picker, plane)
-	observer, err := newCallObserver(registry, guard, logger)
+	observer, err := newCallObserver(registry, guard, plane, logger)
 	if err != nil {
 		return nil, err
 	}
 	handler := newEntry(config, entryDecisions, snapshotStore, plane, plane, pool, guard, observer)
 	server := newCallerServer(config, handler)
-	node, err := newNode(config, snapshotStore, plane, guard, loop, pool, wasabiportPeerSecurity, handler, server, registry)
+	node, err := newNode(config, snapshotStore, plane, guard, loop, pool, wasabiportPeerSecurity, handler, server, registry, entryDecisions)
 	if err != nil {
 		return nil, err
 	}
