Know that a call has not run while it waits at a guard that is lost

Change: the guard asks the entry node before it runs such a call and holds its slot for at most 400 ms until the body comes; until the entry node has sent it, the call has not run and goes to another guard. A guard that gives no sign within 400 ms is given up. Keyed calls keep to their records. A refusal of a guard that does not know its backend server yet is tried elsewhere.

The tests of transport/callstream did not compile before, as there was no such question; the case in coordination/retry failed.

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -156,6 +156,7 @@
 func worthRetrying(reason state.RefusalReason) bool {
 	switch reason {
 	case state.RefusedQueueFull,
+		state.RefusedNoBackendServer,
 		state.RefusedDeadline,
 		state.RefusedDraining,
 		state.RefusedNotReady,
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -34,6 +34,10 @@
 			head: plain, refusal: state.NotRun(state.RefusedQueueFull, ""), attempts: 1,
 			action: retry.ActionOtherServer,
 		},
+		"guard that does not know its backend server yet": {
+			head: plain, refusal: state.NotRun(state.RefusedNoBackendServer, ""), attempts: 1,
+			action: retry.ActionOtherServer,
+		},
 		"may have run, idempotent": {
 			head: idempotent, refusal: state.MayHaveRun(state.RefusedBackendServerFailed, ""), attempts: 1,
 			action: retry.ActionOtherServer,
--- a/transport/callstream/callstream.go
+++ b/transport/callstream/callstream.go
@@ -77,9 +77,20 @@
 	Trailers func() []call.Field
 }
 
+// Confirmed is the body of a call that must not run before its entry node has
+// confirmed the start.
+type Confirmed interface {
+	// Queued tells the entry node that the call waits for a slot.
+	Queued() error
+	// Confirm asks the entry node to confirm that the call may run now. After an
+	// error the call must not run.
+	Confirm() error
+}
+
 // Handler runs calls at the guard. A returned Reply is closed by the caller.
 type Handler interface {
-	// Handle runs one call. Reading from body asks the entry node for it.
+	// Handle runs one call. Reading from body asks the entry node for it. A
+	// body may be Confirmed.
 	Handle(ctx context.Context, head call.Head, body io.Reader) (*Reply, *state.Refusal)
 	// Load returns the hint that goes with a refusal.
 	Load(server state.BackendServerName) call.LoadHint
--- a/transport/callstream/client.go
+++ b/transport/callstream/client.go
@@ -55,9 +55,25 @@
 	reader    *frame.Reader
 	head      call.Head
 	stopWatch func() bool
+	// unconfirmed says that the guard must not run the call yet.
+	unconfirmed bool
 }
 
+// signTimeout bounds the time in which a guard gives a first sign of a call
+// whose start is to be confirmed.
+const signTimeout = 400 * time.Millisecond
+
+// confirmsStart reports whether the guard has to ask before it runs a call: one
+// that may run once is then known not to have run while it waits, even when its
+// guard is lost. Records answer for the calls with keys.
+func confirmsStart(head call.Head) bool { return !head.Idempotent && head.IdempotencyKey == "" }
+
 func (c *client) do(body *Body) Answer {
+	c.unconfirmed = body.Rest != nil || confirmsStart(c.head)
+	if c.unconfirmed {
+		// An error means that the stream is gone, which the write shows.
+		_ = c.stream.SetReadDeadline(time.Now().Add(signTimeout))
+	}
 	if err := c.sendHead(body); err != nil {
 		return Answer{Refusal: c.lost()}
 	}
@@ -66,8 +82,13 @@
 		if err := frame.Read(c.reader, &reply, maxFrameBytes); err != nil {
 			return Answer{Refusal: c.lost()}
 		}
+		if c.unconfirmed {
+			_ = c.stream.SetReadDeadline(time.Time{})
+		}
 		switch message := reply.GetFrame().(type) {
+		case *wirepb.ReplyFrame_Queued:
 		case *wirepb.ReplyFrame_Proceed:
+			c.unconfirmed = false
 			go c.sendRest(body)
 		case *wirepb.ReplyFrame_Refusal:
 			return c.refused(message.Refusal)
@@ -82,6 +103,9 @@
 // lost is the answer when the guard can't be heard any more after the head
 // was sent.
 func (c *client) lost() *state.Refusal {
+	if c.unconfirmed {
+		return state.NotRun(state.RefusedUnreachable, "the guard was lost before it ran the call")
+	}
 	return state.MayHaveRun(state.RefusedUnreachable, "the connection to the guard was lost during the call")
 }
 
@@ -110,12 +134,12 @@
 // one write.
 func (c *client) sendHead(body *Body) error {
 	message := callwire.EncodeHead(time.Now(), c.head)
-	message.AwaitsProceed = body.Rest != nil
+	message.AwaitsProceed = c.unconfirmed
 	var buffer bytes.Buffer
 	if err := frame.Write(&buffer, &wirepb.CallFrame{Frame: &wirepb.CallFrame_Head{Head: message}}); err != nil {
 		return err
 	}
-	if body.Rest == nil {
+	if !c.unconfirmed {
 		if err := writeBody(&buffer, body.Reader()); err != nil {
 			return err
 		}
--- /dev/null
+++ b/transport/callstream/confirm_test.go
@@ -0,0 +1,139 @@
+package callstream_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/internal/virtualtime"
+	"github.com/wasabiport/wasabiport/state"
+	"github.com/wasabiport/wasabiport/transport/callstream"
+)
+
+// guardFunc handles calls as a guard does.
+type guardFunc func(ctx context.Context, body io.Reader) (*callstream.Reply, *state.Refusal)
+
+func (f guardFunc) Handle(ctx context.Context, _ call.Head, body io.Reader) (*callstream.Reply, *state.Refusal) {
+	return f(ctx, body)
+}
+
+func (guardFunc) Load(state.BackendServerName) call.LoadHint { return call.LoadHint{} }
+
+var errLost = errors.New("the guard is lost")
+
+// do sends a call that may run once to a guard. The guard's side of the stream
+// is closed when handle returns lost.
+func do(t *testing.T, handle func(body callstream.Confirmed, all io.Reader) error) callstream.Answer {
+	near, far := net.Pipe()
+	go func() {
+		_ = callstream.Serve(t.Context(), far, guardFunc(func(_ context.Context, body io.Reader) (*callstream.Reply, *state.Refusal) {
+			if err := handle(body.(callstream.Confirmed), body); err != nil {
+				_ = far.Close()
+			}
+			return nil, state.NotRun(state.RefusedShed, "")
+		}))
+	}()
+	head := call.Head{
+		ID: "id-1", BackendServer: "desk-0", Deadline: time.Now().Add(10 * time.Second),
+		Method: "POST", Target: "/", ContentLength: 6,
+	}
+	ctx, cancel := context.WithDeadline(t.Context(), head.Deadline)
+	defer cancel()
+	return callstream.Do(ctx, near, head, &callstream.Body{Prefix: []byte("notice")})
+}
+
+func TestCallThatWaitsAtALostGuardHasNotRun(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		answer := do(t, func(body callstream.Confirmed, _ io.Reader) error {
+			if err := body.Queued(); err != nil {
+				return err
+			}
+			time.Sleep(3 * time.Second)
+			return errLost
+		})
+		require.Equal(t, state.OutcomeNotRun, answer.Refusal.Outcome)
+		require.Equal(t, state.RefusedUnreachable, answer.Refusal.Reason)
+	})
+}
+
+func TestCallWhoseStartIsConfirmedMayHaveRun(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		answer := do(t, func(body callstream.Confirmed, all io.Reader) error {
+			if err := body.Confirm(); err != nil {
+				return nil
+			}
+			got, err := io.ReadAll(all)
+			if err != nil || string(got) != "notice" {
+				return nil
+			}
+			return errLost
+		})
+		require.Equal(t, state.OutcomeMayHaveRun, answer.Refusal.Outcome)
+	})
+}
+
+func TestGuardWithoutASignIsGivenUpSoon(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		began := time.Now()
+		confirmed := make(chan error, 1)
+		answer := do(t, func(body callstream.Confirmed, _ io.Reader) error {
+			time.Sleep(time.Second)
+			confirmed <- body.Confirm()
+			return nil
+		})
+		require.Less(t, time.Since(began), time.Second)
+		require.Equal(t, state.OutcomeNotRun, answer.Refusal.Outcome)
+		require.Error(t, <-confirmed, "it must not run any more")
+	})
+}
+
+// TestStartThatNobodyConfirmsIsGivenUp has the entry node fall silent, or end
+// the stream, when it is asked.
+func TestStartThatNobodyConfirmsIsGivenUp(t *testing.T) {
+	t.Run("silent", func(t *testing.T) { requireNotConfirmed(t, false) })
+	t.Run("ended", func(t *testing.T) { requireNotConfirmed(t, true) })
+}
+
+func requireNotConfirmed(t *testing.T, ends bool) {
+	virtualtime.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		confirmed := make(chan error, 1)
+		go func() {
+			_ = callstream.Serve(t.Context(), far, guardFunc(func(_ context.Context, body io.Reader) (*callstream.Reply, *state.Refusal) {
+				confirmed <- body.(callstream.Confirmed).Confirm()
+				return nil, state.NotRun(state.RefusedCanceled, "")
+			}))
+		}()
+		go func() {
+			head := call.Head{ID: "id-1", BackendServer: "desk-0", Deadline: time.Now().Add(time.Minute), Method: "POST", Target: "/"}
+			_ = callstream.Do(t.Context(), deafConn{Conn: near, ends: ends}, head, &callstream.Body{})
+		}()
+		require.Error(t, <-confirmed)
+		require.NoError(t, near.Close())
+	})
+}
+
+// deafConn writes the head of a call and takes everything that comes without
+// passing it on, or ends the stream then.
+type deafConn struct {
+	net.Conn
+	ends bool
+}
+
+func (c deafConn) Read([]byte) (int, error) {
+	buffer := make([]byte, 1<<10)
+	for {
+		if _, err := c.Conn.Read(buffer); err != nil {
+			return 0, err
+		}
+		if c.ends {
+			return 0, errors.CombineErrors(io.EOF, c.Close())
+		}
+	}
+}
--- a/transport/callstream/server.go
+++ b/transport/callstream/server.go
@@ -98,7 +98,7 @@
 		// Nothing follows the end marker but the end of the stream.
 		_, _ = s.reader.ReadByte()
 	}()
-	return &requestBody{server: s, reader: reader}
+	return &requestBody{server: s, pipe: reader, reader: bufio.NewReaderSize(reader, peekBytes)}
 }
 
 func (s *server) copyBody(writer *io.PipeWriter) error {
@@ -128,10 +128,49 @@
 // requestBody asks the entry node for the body when it is first read.
 type requestBody struct {
 	server *server
-	reader *io.PipeReader
+	pipe   *io.PipeReader
+	reader *bufio.Reader
 	asked  bool
 }
 
+const (
+	// peekBytes is the buffer in which the first byte of a body is awaited.
+	peekBytes = 512
+	// confirmTimeout bounds the time in which an entry node confirms the start
+	// of a call, while the call holds a slot.
+	confirmTimeout = 400 * time.Millisecond
+)
+
+// Queued tells the entry node that the call waits for a slot.
+func (b *requestBody) Queued() error {
+	if !b.server.awaitsProceed {
+		return nil
+	}
+	return b.server.send(&wirepb.ReplyFrame{Frame: &wirepb.ReplyFrame_Queued{Queued: &wirepb.Queued{}}})
+}
+
+// Confirm asks the entry node for the body and waits for its first byte.
+func (b *requestBody) Confirm() error {
+	if !b.server.awaitsProceed || b.asked {
+		return nil
+	}
+	b.asked = true
+	timer := time.AfterFunc(confirmTimeout, func() { b.pipe.CloseWithError(errNotConfirmed) })
+	defer timer.Stop()
+	if err := b.server.sendProceed(); err != nil {
+		return err
+	}
+	// A stream that ends without the end marker is cut, and not an empty body.
+	if _, err := b.reader.Peek(1); err != nil && (errors.Is(err, ErrCut) || !errors.Is(err, io.EOF)) {
+		return errors.Wrap(err, "confirm the start of a call")
+	}
+	return nil
+}
+
+// errNotConfirmed means that the entry node has not confirmed the start of a
+// call in time.
+var errNotConfirmed = errors.New("the entry node has not confirmed the start of the call")
+
 func (b *requestBody) Read(p []byte) (int, error) {
 	if !b.asked {
 		b.asked = true
@@ -142,7 +181,7 @@
 	return b.reader.Read(p)
 }
 
-func (b *requestBody) Close() error { return b.reader.Close() }
+func (b *requestBody) Close() error { return b.pipe.Close() }
 
 func (s *server) sendProceed() error {
 	if !s.awaitsProceed {
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -44,13 +44,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	select {
-	case <-pass.Decided():
-	case <-waitCtx.Done():
-		g.admission.Abandon(time.Now(), pass)
-		return nil, abandoned(waitCtx.Err())
-	}
-	if refusal := pass.Refusal(); refusal != nil {
+	if refusal := g.await(waitCtx, pass, body); refusal != nil {
 		return nil, refusal
 	}
 	release := func(result admission.Result) {
@@ -64,6 +58,12 @@
 		release(admission.ResultBroken)
 		return nil, refusal
 	}
+	if confirmed, ok := body.(callstream.Confirmed); ok {
+		if err := confirmed.Confirm(); err != nil {
+			release(admission.ResultBroken)
+			return nil, state.NotRun(state.RefusedCanceled, "the entry node has not confirmed the start of the call")
+		}
+	}
 	g.inFlight.add(head.ID, head.Fingerprint)
 	began := time.Now()
 	reply, refusal := g.run(runCtx, head, body, beforeSend, release)
@@ -76,6 +76,26 @@
 	return reply, nil
 }
 
+// await waits until the pass is granted, or returns why it is not.
+func (g *gate) await(ctx context.Context, pass *admission.Pass, body io.Reader) *state.Refusal {
+	select {
+	case <-pass.Decided():
+		return pass.Refusal()
+	default:
+	}
+	if confirmed, ok := body.(callstream.Confirmed); ok {
+		// A stream that is lost ends ctx.
+		_ = confirmed.Queued()
+	}
+	select {
+	case <-pass.Decided():
+		return pass.Refusal()
+	case <-ctx.Done():
+		g.admission.Abandon(time.Now(), pass)
+		return abandoned(ctx.Err())
+	}
+}
+
 func abandoned(err error) *state.Refusal {
 	if errors.Is(err, context.DeadlineExceeded) {
 		return state.NotRun(state.RefusedDeadline, "the deadline passed while the call waited for a slot")
