Ask a backend server whose address another one has taken once

Cause: an entry outlives its backend server by three heartbeats.

Change: the first such answer closes the gate of that life of the backend server; calls after it are refused without being sent, at no cost in retries.

--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -110,6 +110,8 @@
 	Refusal *state.Refusal
 	// Shed says that the backend server had too much work.
 	Shed bool
+	// Gone says that another backend server has the address.
+	Gone bool
 	// Spoiled says that the connection must not be used again.
 	Spoiled bool
 }
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,8 +24,11 @@
 	server    state.BackendServer
 	service   state.Service
 	transport *http.Transport
-	suspects  *quarantine.Suspects
-	inFlight  *inFlight
+	// gone is set when another backend server was found at the address. It is
+	// shared by all settings of one life of the backend server.
+	gone     *atomic.Bool
+	suspects *quarantine.Suspects
+	inFlight *inFlight
 	// probe tells crashes from lost connections; nil takes both for crashes.
 	probe  *crashProbe
 	zone   Zone
@@ -40,6 +44,9 @@
 	body io.Reader,
 	beforeSend func(),
 ) (*callstream.Reply, *state.Refusal) {
+	if g.gone.Load() {
+		return nil, state.NotRun(state.RefusedDraining, "another backend server was found at the address")
+	}
 	pass, alone, refusal := g.request(head)
 	if refusal != nil {
 		return nil, refusal
@@ -163,6 +170,7 @@
 		server:    server,
 		service:   service,
 		transport: g.newTransport(server),
+		gone:      new(atomic.Bool),
 		suspects:  g.decisions.Suspects,
 		inFlight:  newInFlight(),
 		zone:      g.zone,
@@ -175,6 +183,9 @@
 	next := *old
 	next.server = server
 	next.service = service
+	if server.Address != old.server.Address || server.Incarnation != old.server.Incarnation {
+		next.gone = new(atomic.Bool)
+	}
 	if server.Address != old.server.Address || server.Connections != old.server.Connections {
 		next.transport = g.newTransport(server)
 	}
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -78,6 +78,9 @@
 		if judgement.Shed {
 			release(admission.ResultShed)
 		}
+		if judgement.Gone {
+			g.gone.Store(true)
+		}
 		return nil, judgement.Refusal
 	}
 	cut := func() {
