Tell the guards of all availability zones of requests that crash backend servers

Cause: such a request comes again at any host, and each availability zone let it crash backend servers twice before it was refused there: up to six in three.

Change: notices go to all guards, each once over each session. The threads that look for crashes end with the guard.

TestCrashNoticesReachAllAvailabilityZones failed before.

--- a/coordination/control/crashnotices.go
+++ b/coordination/control/crashnotices.go
@@ -16,44 +16,31 @@
 	Notices(now time.Time) []quarantine.Notice
 }
 
-// Crashed tells the other guards of the own availability zone of requests that
-// were in flight at a crash.
+// Crashed tells the other guards of the fleet of requests that were in flight at
+// a crash: such a request may come again anywhere.
 func (p *Plane) Crashed(notices []quarantine.Notice) Output {
 	var output Output
-	p.spreadInZone(&output, CrashNotices{Notices: notices}, "")
+	p.spread(&output, CrashNotices{Notices: notices}, "")
 	return output
 }
 
 // takeCrashNotices passes on what is news, so that each notice crosses each
-// session of the availability zone once at most in each direction.
+// session once at most in each direction.
 func (p *Plane) takeCrashNotices(now time.Time, output *Output, from state.HostName, message CrashNotices) {
-	if p.config.Suspects == nil || !p.inOwnZone(from) {
+	if p.config.Suspects == nil {
 		return
 	}
 	if news := p.config.Suspects.Learn(now, message.Notices); len(news) > 0 {
-		p.spreadInZone(output, CrashNotices{Notices: news}, from)
+		p.spread(output, CrashNotices{Notices: news}, from)
 	}
 }
 
 // tellCrashNotices brings a newly connected guard up to date.
 func (p *Plane) tellCrashNotices(now time.Time, output *Output, host state.HostName) {
-	if p.config.Suspects == nil || !p.inOwnZone(host) {
+	if p.config.Suspects == nil {
 		return
 	}
 	if notices := p.config.Suspects.Notices(now); len(notices) > 0 {
 		output.send(host, CrashNotices{Notices: notices})
 	}
 }
-
-func (p *Plane) spreadInZone(output *Output, message Message, except state.HostName) {
-	for _, name := range p.peers.names() {
-		if name != except && p.inOwnZone(name) {
-			output.send(name, message)
-		}
-	}
-}
-
-func (p *Plane) inOwnZone(name state.HostName) bool {
-	host, ok := p.members.Host(name)
-	return ok && host.Zone == p.config.Self.Zone
-}
--- /dev/null
+++ b/coordination/control/crashnotices_test.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/quarantine"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// TestCrashNoticesReachAllAvailabilityZones has a request crash backend servers
+// in one availability zone: it may come again in any other.
+func TestCrashNoticesReachAllAvailabilityZones(t *testing.T) {
+	now := time.Unix(1000, 0)
+	suspects := quarantine.NewSuspects(quarantine.Config{})
+	config := Config{Self: state.Host{Name: "self", Zone: "north"}, Suspects: suspects}
+	plane := NewPlane(config, state.NewSnapshotStore(1), rand.New(rand.NewPCG(1, 2)))
+	plane.HostListAnswered(now, state.HostList{Version: 1, Hosts: []state.Host{
+		{Name: "self", Zone: "north"}, {Name: "near", Zone: "north"}, {Name: "far", Zone: "south"}, {Name: "farther", Zone: "west"},
+	}})
+	for _, host := range []state.HostName{"near", "far", "farther"} {
+		plane.Connected(now, host)
+	}
+	notices := CrashNotices{Notices: []quarantine.Notice{{Fingerprint: 7, Phase: quarantine.PhaseQuarantined, Remaining: time.Minute}}}
+
+	var told []state.HostName
+	for _, send := range plane.Crashed(notices.Notices).Sends {
+		told = append(told, send.To)
+	}
+	require.ElementsMatch(t, []state.HostName{"near", "far", "farther"}, told)
+
+	output := plane.Receive(now, "far", notices)
+	_, refusal := suspects.Check(now, 7)
+	require.NotNil(t, refusal, "learned from another availability zone")
+	require.Contains(t, output.Sends, Send{To: "near", Message: notices})
+	require.Contains(t, output.Sends, Send{To: "farther", Message: notices})
+	require.NotContains(t, plane.Receive(now, "near", notices).Sends, Send{To: "farther", Message: notices}, "no news")
+	require.Contains(t, plane.Connected(now, "near").Sends, Send{To: "near", Message: notices}, "told to one that connects")
+}
--- a/coordination/control/message.go
+++ b/coordination/control/message.go
@@ -91,8 +91,7 @@
 	Zones []fleetstatus.ZoneReport
 }
 
-// CrashNotices tells the guards of an availability zone of requests that may
-// crash backend servers.
+// CrashNotices tells other guards of requests that may crash backend servers.
 type CrashNotices struct {
 	Notices []quarantine.Notice
 }
--- a/coordination/quarantine/config.go
+++ b/coordination/quarantine/config.go
@@ -2,8 +2,7 @@
 //
 // The requests in flight at a crash become suspects. A suspect runs alone: it
 // is cleared when the backend server survives it, and quarantined when it
-// crashes the backend server again. Guards of an availability zone tell each
-// other.
+// crashes the backend server again. Guards tell each other.
 package quarantine
 
 import "time"
--- a/providers.go
+++ b/providers.go
@@ -131,14 +131,14 @@
 	config Config,
 	snapshots *state.SnapshotStore,
 	decisions guard.Decisions,
-	zone guard.Zone,
+	others guard.Others,
 	logger logr.Logger,
 ) *guard.Guard {
 	back := config.Adapter.Back
 	if back == nil {
 		back = httpmap.Back{}
 	}
-	return guard.New(config.Self.Name, back, snapshots, decisions, zone, config.Network, logger)
+	return guard.New(config.Self.Name, back, snapshots, decisions, others, config.Network, logger)
 }
 
 func newCallObserver(
--- a/transport/controlloop/loop.go
+++ b/transport/controlloop/loop.go
@@ -92,9 +92,9 @@
 // Leave announces to the peers that this node takes no more work.
 func (l *Loop) Leave() { l.carryOut(l.plane.Leave(time.Now())) }
 
-// TellZone tells the other guards of the availability zone of requests that
+// TellGuards tells the other guards of the fleet of requests that
 // may crash backend servers.
-func (l *Loop) TellZone(notices []quarantine.Notice) { l.carryOut(l.plane.Crashed(notices)) }
+func (l *Loop) TellGuards(notices []quarantine.Notice) { l.carryOut(l.plane.Crashed(notices)) }
 
 // Shutdown ends the threads and waits for them.
 func (l *Loop) Shutdown() {
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -31,7 +31,7 @@
 	inFlight *inFlight
 	// probe tells crashes from lost connections; nil takes both for crashes.
 	probe  *crashProbe
-	zone   Zone
+	others Others
 	logger logr.Logger
 }
 
@@ -161,7 +161,7 @@
 func (g *Guard) newGate(server state.BackendServer, service state.Service) *gate {
 	var probe *crashProbe
 	if g.decisions.ConfirmCrashes {
-		probe = &crashProbe{ctx: g.ctx, network: g.network}
+		probe = &crashProbe{ctx: g.ctx, network: g.network, threads: &g.probes}
 	}
 	return &gate{
 		probe:     probe,
@@ -173,7 +173,7 @@
 		gone:      new(atomic.Bool),
 		suspects:  g.decisions.Suspects,
 		inFlight:  newInFlight(),
-		zone:      g.zone,
+		others:    g.others,
 		logger:    g.logger,
 	}
 }
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +31,7 @@
 	network   network.Network
 	snapshots *state.SnapshotStore
 	decisions Decisions
-	zone      Zone
+	others    Others
 	logger    logr.Logger
 	gates     *state.ShardedMap[state.BackendServerName, *gate]
 	leaving   atomic.Bool
@@ -40,6 +41,8 @@
 	// ctx ends with the guard.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// probes are the threads that look for crashes.
+	probes sync.WaitGroup
 }
 
 // Back maps calls to HTTP requests to backend servers, and their answers back.
@@ -51,11 +54,11 @@
 	Judge(head call.Head, response *http.Response) call.Judgement
 }
 
-// Zone reaches the other guards of the availability zone.
-type Zone interface {
-	// TellZone tells them of requests that may crash backend servers. It
+// Others reaches the other guards of the fleet.
+type Others interface {
+	// TellGuards tells them of requests that may crash backend servers. It
 	// does not block.
-	TellZone(notices []quarantine.Notice)
+	TellGuards(notices []quarantine.Notice)
 }
 
 // Decisions are the parts that decide on calls beside the admission.
@@ -75,7 +78,7 @@
 	back Back,
 	snapshots *state.SnapshotStore,
 	decisions Decisions,
-	zone Zone,
+	others Others,
 	network network.Network,
 	logger logr.Logger,
 ) *Guard {
@@ -86,7 +89,7 @@
 		network:   network,
 		snapshots: snapshots,
 		decisions: decisions,
-		zone:      zone,
+		others:    others,
 		logger:    logger,
 		gates:     state.NewShardedMap[state.BackendServerName, *gate](state.DefaultShardCount),
 		left:      make(chan struct{}),
@@ -166,4 +169,5 @@
 	for _, gate := range g.allGates() {
 		gate.transport.CloseIdleConnections()
 	}
+	g.probes.Wait()
 }
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -30,10 +30,10 @@
 const backendAddress = "192.0.2.7:8080"
 
 // rig is a guard with the one backend server "desk-0".
-// noZone is an availability zone without other guards.
-type noZone struct{}
+// alone is a fleet without other guards.
+type alone struct{}
 
-func (noZone) TellZone([]quarantine.Notice) {}
+func (alone) TellGuards([]quarantine.Notice) {}
 
 type rig struct {
 	t       *testing.T
@@ -59,7 +59,7 @@
 		Suspects: quarantine.NewSuspects(quarantine.Config{}),
 		Owners:   keyowner.NewHistory(time.Hour),
 	}
-	return &rig{t: t, snapshots: snapshots, network: memory, guard: guard.New("host-0", httpmap.Back{}, snapshots, decisions, noZone{}, memory, logr.Discard())}
+	return &rig{t: t, snapshots: snapshots, network: memory, guard: guard.New("host-0", httpmap.Back{}, snapshots, decisions, alone{}, memory, logr.Discard())}
 }
 
 // serve answers each connection to the backend server with handle.
--- a/transport/guard/suspects.go
+++ b/transport/guard/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,17 +47,17 @@
 		return
 	}
 	if candidates := g.inFlight.all(); g.probe.begin() {
-		go func() {
+		g.probe.threads.Go(func() {
 			defer g.probe.end()
 			if g.probe.refused(g.server.Address) {
 				g.inFlight.clear()
 				g.suspect(candidates)
 			}
-		}()
+		})
 	}
 }
 
-// suspect tells the zone of the requests that a backend server had when it
+// suspect tells the other guards of the requests that a backend server had when it
 // crashed.
 func (g *gate) suspect(fingerprints []state.Fingerprint) {
 	if len(fingerprints) == 0 {
@@ -64,7 +65,7 @@
 	}
 	notices := g.suspects.Crashed(time.Now(), fingerprints)
 	events.Log(g.logger, events.BackendServerCrashed{BackendServer: g.server.Name, Suspects: len(fingerprints)})
-	g.zone.TellZone(notices)
+	g.others.TellGuards(notices)
 	for _, notice := range notices {
 		if notice.Phase == quarantine.PhaseQuarantined {
 			events.Log(g.logger, events.RequestQuarantined{Fingerprint: notice.Fingerprint})
@@ -81,6 +82,7 @@
 type crashProbe struct {
 	ctx     context.Context
 	network network.Network
+	threads *sync.WaitGroup
 	running atomic.Bool
 }
 
--- a/wire.go
+++ b/wire.go
@@ -49,7 +49,7 @@
 	wire.Bind(new(picking.HostPhases), new(*control.Plane)),
 	wire.Bind(new(entry.Hosts), new(*control.Plane)),
 	wire.Bind(new(entry.Readiness), new(*control.Plane)),
-	wire.Bind(new(guard.Zone), new(*controlloop.Loop)),
+	wire.Bind(new(guard.Others), new(*controlloop.Loop)),
 	wire.Bind(new(entry.Dialer), new(*peering.Pool)),
 	wire.Bind(new(entry.Observer), new(*calllog.Observer)),
 	wire.Bind(new(callstream.Handler), new(*guard.Guard)),
