--- a/config.go
+++ b/config.go
@@ -96,9 +96,6 @@
 	Plaintext bool
 	// Logger takes the events of the node. Default none.
 	Logger logr.Logger
-	// DroppedLogLines returns how many lines of Logger were lost, for the
-	// metrics. Default nil, which counts none.
-	DroppedLogLines func() int64
 }
 
 // Adapter holds what a program supplies that embeds a node on a platform of
@@ -131,6 +128,9 @@
 	// connections for a while. The guard then takes a lost connection for a
 	// crash only when the next one is refused. Default false.
 	ConfirmCrashes bool
+	// DroppedLogLines returns how many lines of the logger were lost, for the
+	// metrics. Default nil, which counts none.
+	DroppedLogLines func() int64
 	// RetryShare is the number of retries that each call earns, and RetrySlack
 	// the number that all nodes together may save up for a service. With
 	// RetrySlack, only retries after an attempt that has reached a backend
--- a/providers.go
+++ b/providers.go
@@ -45,7 +45,7 @@
 	if err := registry.Register(collectors.NewGoCollector()); err != nil {
 		return nil, errors.Wrap(err, "register runtime metrics")
 	}
-	dropped := config.DroppedLogLines
+	dropped := config.Adapter.DroppedLogLines
 	if dropped == nil {
 		dropped = func() int64 { return 0 }
 	}
