--- a/transport/callstream/confirm_test.go
+++ b/transport/callstream/confirm_test.go
@@ -25,15 +25,13 @@
 
 func (guardFunc) Load(state.BackendServerName) call.LoadHint { return call.LoadHint{} }
 
-var errLost = errors.New("the guard is lost")
-
 // do sends a call that may run once to a guard. The guard's side of the stream
-// is closed when handle returns lost.
-func do(t *testing.T, handle func(body callstream.Confirmed, all io.Reader) error) callstream.Answer {
+// is closed when handle says that the guard is lost.
+func do(t *testing.T, handle func(body callstream.Confirmed, all io.Reader) (lost bool)) callstream.Answer {
 	near, far := net.Pipe()
 	go func() {
 		_ = callstream.Serve(t.Context(), far, guardFunc(func(_ context.Context, body io.Reader) (*callstream.Reply, *state.Refusal) {
-			if err := handle(body.(callstream.Confirmed), body); err != nil {
+			if lost := handle(body.(callstream.Confirmed), body); lost {
 				_ = far.Close()
 			}
 			return nil, state.NotRun(state.RefusedShed, "")
@@ -50,12 +48,10 @@
 
 func TestCallThatWaitsAtALostGuardHasNotRun(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
-		answer := do(t, func(body callstream.Confirmed, _ io.Reader) error {
-			if err := body.Queued(); err != nil {
-				return err
-			}
+		answer := do(t, func(body callstream.Confirmed, _ io.Reader) bool {
+			queued := body.Queued()
 			time.Sleep(3 * time.Second)
-			return errLost
+			return queued == nil
 		})
 		require.Equal(t, state.OutcomeNotRun, answer.Refusal.Outcome)
 		require.Equal(t, state.RefusedUnreachable, answer.Refusal.Reason)
@@ -64,15 +60,10 @@
 
 func TestCallWhoseStartIsConfirmedMayHaveRun(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
-		answer := do(t, func(body callstream.Confirmed, all io.Reader) error {
-			if err := body.Confirm(); err != nil {
-				return nil
-			}
+		answer := do(t, func(body callstream.Confirmed, all io.Reader) bool {
+			confirmed := body.Confirm()
 			got, err := io.ReadAll(all)
-			if err != nil || string(got) != "notice" {
-				return nil
-			}
-			return errLost
+			return confirmed == nil && err == nil && string(got) == "notice"
 		})
 		require.Equal(t, state.OutcomeMayHaveRun, answer.Refusal.Outcome)
 	})
@@ -82,10 +73,10 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		began := time.Now()
 		confirmed := make(chan error, 1)
-		answer := do(t, func(body callstream.Confirmed, _ io.Reader) error {
+		answer := do(t, func(body callstream.Confirmed, _ io.Reader) bool {
 			time.Sleep(time.Second)
 			confirmed <- body.Confirm()
-			return nil
+			return false
 		})
 		require.Less(t, time.Since(began), time.Second)
 		require.Equal(t, state.OutcomeNotRun, answer.Refusal.Outcome)
