Let a notice that comes back to its guard end there

Cause: since notices go to the guards of all availability zones, they go round. A notice keeps its remaining time on the way, so that it let the phase end a little later and was news to the guard that had sent it, without an end. Cells of the fault matrix with crashes took over 100 s in place of 6.

Change: a notice of a phase that is known is news only when it lets the phase end 10 s later or more. TestNoticeThatGoesRoundEnds failed before.

--- a/coordination/quarantine/config.go
+++ b/coordination/quarantine/config.go
@@ -17,6 +17,11 @@
 // maxNotices bounds the notices in one message.
 const maxNotices = 256
 
+// minExtension is how much later a notice has to let a phase end to be news. The
+// remaining time of a notice does not shrink on its way, so that one that goes
+// round would be news to the guard it came from.
+const minExtension = 10 * time.Second
+
 // Config holds the settings of Suspects.
 type Config struct {
 	// SuspectFor is how long a suspect that does not come again is remembered.
--- a/coordination/quarantine/notice.go
+++ b/coordination/quarantine/notice.go
@@ -60,7 +60,7 @@
 	}
 	told := suspicion{phase: notice.Phase, until: now.Add(min(notice.Remaining, longest))}
 	weaker := present && (notice.Phase < held.phase || held.phase == PhaseCleared && notice.Phase == PhaseSuspect)
-	same := present && notice.Phase == held.phase && !told.until.After(held.until)
+	same := present && notice.Phase == held.phase && told.until.Before(held.until.Add(minExtension))
 	unknown := notice.Phase != PhaseSuspect && notice.Phase != PhaseQuarantined
 	if weaker || same || unknown || notice.Remaining <= 0 {
 		return state.Change[suspicion]{}
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -108,6 +108,17 @@
 	requireAlone(t, other, epoch.Add(quarantine.DefaultQuarantineFor), stranger, true)
 }
 
+// TestNoticeThatGoesRoundEnds has a notice come back to the guard it came from.
+func TestNoticeThatGoesRoundEnds(t *testing.T) {
+	guard, other := newSuspects(), newSuspects()
+	notices := crashTwice(guard)
+	const way = 40 * time.Millisecond
+	passedOn := other.Learn(epoch.Add(way), notices)
+	require.NotEmpty(t, passedOn)
+	require.Empty(t, guard.Learn(epoch.Add(2*way), passedOn))
+	require.Empty(t, other.Learn(epoch.Add(3*way), passedOn))
+}
+
 func TestRetryThatOvertakesTheNoticeIsQuarantinedAtItsSecondCrash(t *testing.T) {
 	second := newSuspects()
 	second.Suspect(epoch, poison)
