Use all slots of a backend server that sheds whatever its load

Ruled out: too few slots (the backend servers were idle) and the retry budget (146 repeats).

Change: sheds that go on beside answers at half of the slots or below don't depend on the load; the limit goes back to all slots until they end. The picker counts a shed as a failure, so that one server of many that sheds gets less.

--- a/coordination/admission/grant.go
+++ b/coordination/admission/grant.go
@@ -132,16 +132,16 @@
 	times := &g.times[pass.class]
 	switch result {
 	case ResultShed:
-		g.limit.decrease(now, g.config.ShedDecrease, max(times.mean(), g.config.MinAdjustEvery))
+		g.limit.shed(now, g.config.ShedDecrease, max(times.mean(), g.config.MinAdjustEvery))
 	case ResultAnswered:
 		times.observe(now.Sub(pass.granted))
 		if times.slow(g.config.SlowTolerance) {
 			g.limit.decrease(now, g.config.SlowDecrease, max(times.mean(), g.config.MinAdjustEvery))
 			return
 		}
-		g.limit.increase()
+		g.limit.answered()
 	case ResultFailed:
-		g.limit.increase()
+		g.limit.answered()
 	case ResultBroken:
 	}
 }
--- a/coordination/admission/limit.go
+++ b/coordination/admission/limit.go
@@ -10,6 +10,7 @@
 	// current is between 1 and slots.
 	current   float64
 	decreased time.Time
+	shedding  shedding
 	// coldSince is the time of the cold start that slowStart counts from.
 	coldSince time.Time
 	slowStart time.Duration
@@ -47,7 +48,27 @@
 	l.current = max(1, l.current*factor)
 }
 
-// increase adds one slot for each round of answers.
-func (l *limit) increase() {
+// shed learns from a call that was shed.
+func (l *limit) shed(now time.Time, factor float64, every time.Duration) {
+	l.judge(true)
+	if !l.shedding.anyway {
+		l.decrease(now, factor, every)
+	}
+}
+
+// answered learns from a call that was answered: it adds one slot for each
+// round of answers.
+func (l *limit) answered() {
+	l.judge(false)
 	l.current = min(float64(l.slots), l.current+1/l.current)
 }
+
+// judge finds out whether the backend server sheds whatever its load. All slots
+// are used again from the moment that it is seen to.
+func (l *limit) judge(shed bool) {
+	before := l.shedding.anyway
+	l.shedding.observe(shed, l.current <= reducedShare*float64(l.slots))
+	if l.shedding.anyway && !before {
+		l.current = float64(l.slots)
+	}
+}
--- a/coordination/picking/picking.go
+++ b/coordination/picking/picking.go
@@ -117,6 +117,10 @@
 		p.sights.Update(server, func(seen sight, _ bool) (sight, bool) {
 			return seen.withDraining(now), true
 		})
+	case state.RefusedShed:
+		p.sights.Update(server, func(seen sight, _ bool) (sight, bool) {
+			return seen.withAnswer(now, true), true
+		})
 	case state.RefusedUnreachable, state.RefusedBackendServerFailed:
 		draw := p.random.float64()
 		p.sights.Update(server, func(seen sight, _ bool) (sight, bool) {
--- a/coordination/picking/picking_test.go
+++ b/coordination/picking/picking_test.go
@@ -188,6 +188,16 @@
 	require.NotZero(t, picksOf(picker, epoch, snapshot, "lahore-1", 40), "it answers again")
 }
 
+func TestServerThatShedsGetsLess(t *testing.T) {
+	f, snapshot := newFleet()
+	picker := newPicker(f)
+	for range 40 {
+		picker.ObserveRefusal(epoch, "lahore-1", state.NotRun(state.RefusedShed, "declined"))
+	}
+	require.Zero(t, picksOf(picker, epoch, snapshot, "lahore-1", 12))
+	require.NotZero(t, picksOf(picker, epoch.Add(20*time.Second), snapshot, "lahore-1", 40), "it was a while ago")
+}
+
 func TestLessLoadedServerIsPickedMoreOften(t *testing.T) {
 	f, snapshot := newFleet()
 	picker := newPicker(f)
