Count the wanted time of an answer from the client's first attempt

Change: the entry node remembers refused attempts by fingerprint and the client's deadline, which its next attempt shares (coordination/comeback); the wanted time is counted from the first of them. The gate's rule stays: under overload, a call that can't be answered by then is refused.

--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -26,9 +26,9 @@
 	Caller        state.CallerName
 	// Deadline is the time at which the caller gives up. It is always set.
 	Deadline time.Time
-	// Wanted is the time by which the users want the answer: the arrival at
-	// the entry node plus the latency target of the route. The zero time
-	// means that any time before Deadline will do.
+	// Wanted is the time by which the users want the answer: the arrival of the
+	// client's first attempt plus the latency target of the route. The zero
+	// time means that any time before Deadline will do.
 	Wanted      time.Time
 	Fingerprint state.Fingerprint
 	// Suspect says that an earlier attempt of the call was in flight when a
--- /dev/null
+++ b/coordination/comeback/comeback_test.go
@@ -0,0 +1,81 @@
+package comeback_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/comeback"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+var epoch = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+const request = state.Fingerprint(7)
+
+func TestRequestThatComesAgainIsCountedFromItsFirstAttempt(t *testing.T) {
+	memory := comeback.NewMemory(comeback.Config{})
+	deadline := epoch.Add(4 * time.Second)
+	first := memory.Begin(epoch, request, deadline)
+	require.Equal(t, epoch, first.First)
+	memory.Refused(epoch.Add(10*time.Millisecond), first)
+
+	later := epoch.Add(time.Second)
+	second := memory.Begin(later, request, deadline.Add(5*time.Millisecond))
+	require.Equal(t, epoch, second.First)
+	memory.Refused(later, second)
+	third := memory.Begin(later.Add(time.Second), request, deadline.Add(-5*time.Millisecond))
+	require.Equal(t, epoch, third.First, "counted from the first of all attempts")
+}
+
+func TestRequestsThatAreMerelyAlikeAreNew(t *testing.T) {
+	later := epoch.Add(time.Second)
+	deadline := epoch.Add(4 * time.Second)
+	tests := map[string]struct {
+		fingerprint state.Fingerprint
+		deadline    time.Time
+		now         time.Time
+	}{
+		"another deadline": {request, deadline.Add(200 * time.Millisecond), later},
+		"another request":  {request + 1, deadline, later},
+		"client has left":  {request, deadline, deadline},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			memory := comeback.NewMemory(comeback.Config{})
+			memory.Refused(epoch, memory.Begin(epoch, request, deadline))
+			require.Equal(t, test.now, memory.Begin(test.now, test.fingerprint, test.deadline).First)
+		})
+	}
+}
+
+func TestEachRefusedAttemptComesAgainOnce(t *testing.T) {
+	memory := comeback.NewMemory(comeback.Config{})
+	deadline := epoch.Add(4 * time.Second)
+	for range 2 {
+		memory.Refused(epoch, memory.Begin(epoch, request, deadline))
+	}
+	later := epoch.Add(time.Second)
+	require.Equal(t, epoch, memory.Begin(later, request, deadline).First)
+	require.Equal(t, later, memory.Begin(later, request, deadline).First, "the second refusal was of the same request")
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	memory := comeback.NewMemory(comeback.Config{MaxRequests: 64})
+	deadline := epoch.Add(4 * time.Second)
+	for fingerprint := range state.Fingerprint(10_000) {
+		memory.Refused(epoch, memory.Begin(epoch, fingerprint, deadline))
+	}
+	for range 100 {
+		memory.Refused(epoch, comeback.Attempt{Fingerprint: request, Deadline: deadline, First: epoch})
+	}
+	later := epoch.Add(time.Second)
+	known := 0
+	for fingerprint := range state.Fingerprint(10_000) {
+		if memory.Begin(later, fingerprint, deadline).First.Equal(epoch) {
+			known++
+		}
+	}
+	require.LessOrEqual(t, known, 64)
+}
--- a/providers.go
+++ b/providers.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabiport/wasabiport/coordination/callerlimit"
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
+	"github.com/wasabiport/wasabiport/coordination/comeback"
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/coordination/picking"
@@ -174,6 +175,8 @@
 		Retries: retry.NewPolicy(policy, budget, newRandom(config, randomOfRetries)),
 		Budget:  budget,
 		Limits:  callerlimit.New(callerlimit.Config{}),
+
+		Comebacks: comeback.NewMemory(comeback.Config{}),
 	}
 }
 
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/callerlimit"
+	"github.com/wasabiport/wasabiport/coordination/comeback"
 	"github.com/wasabiport/wasabiport/coordination/picking"
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/coordination/routing"
@@ -113,6 +114,8 @@
 	Retries *retry.Policy
 	Budget  *retry.Budget
 	Limits  *callerlimit.Limits
+	// Comebacks recognizes requests that come again.
+	Comebacks *comeback.Memory
 }
 
 // Handler is the http.Handler for callers.
@@ -267,8 +270,10 @@
 	}
 	defer body.release(controller)
 	head.Fingerprint = httpmap.Fingerprint(r, body.Prefix)
+	attempt := h.beginAttempt(&head, request)
 	reply, refusal := h.dispatch(waits{local: local, remote: remote}, snapshot, head, &body.Body, ended)
 	if refusal != nil {
+		h.decisions.Comebacks.Refused(time.Now(), attempt)
 		return refusal
 	}
 	// A panic of writeReply tells the server to break the connection.
--- a/transport/entry/head.go
+++ b/transport/entry/head.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/comeback"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -41,6 +42,17 @@
 	return head
 }
 
+// beginAttempt counts the time by which the answer is wanted from the first
+// attempt of the client, when the request has come before.
+func (h *Handler) beginAttempt(head *call.Head, request call.Request) comeback.Attempt {
+	now := time.Now()
+	attempt := h.decisions.Comebacks.Begin(now, head.Fingerprint, now.Add(request.Remaining))
+	if !head.Wanted.IsZero() {
+		head.Wanted = head.Wanted.Add(attempt.First.Sub(now))
+	}
+	return attempt
+}
+
 // timeoutOf returns the timeout of the route, or what the caller has left when
 // that is less.
 func timeoutOf(route state.Route, request call.Request) time.Duration {
