Let calls that can only be late wait behind those that can be in time

Change: each class has a second queue for passes that can't be answered by the time they are wanted; it is served when the first is empty, rank before both. While either queue has been waiting for long the class counts as overloaded, and late calls are refused. Tests failed first (late_test.go).

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -23,7 +23,9 @@
 
 	overloads [state.ClassCount]overload
 
-	queues [state.ClassCount]*classQueue
+	// queues hold the passes that can be answered by the time they are wanted,
+	// and lateQueues those that can't.
+	queues, lateQueues [state.ClassCount]*classQueue
 	// waiting holds the passes of all queues.
 	waiting waitingHeap
 	// solitary holds the passes that run alone, in order of arrival.
@@ -67,6 +69,7 @@
 	gate := &Gate{config: config, solitary: list.New(), drained: make(chan struct{})}
 	for class := range gate.queues {
 		gate.queues[class] = newClassQueue()
+		gate.lateQueues[class] = newClassQueue()
 	}
 	gate.configure(server, service)
 	return gate
@@ -199,8 +202,8 @@
 		entitled: g.entitled,
 		spare:    g.spare,
 	}
-	for class, queue := range g.queues {
-		used.waiting[class] = queue.size > 0
+	for class := range g.queues {
+		used.waiting[class] = g.queues[class].size+g.lateQueues[class].size > 0
 	}
 	g.floors.update(now, used)
 }
@@ -215,24 +218,29 @@
 	g.signalDrained()
 }
 
-// expire refuses the passes for which it is too late to start.
+// expire takes out the passes that have waited for as long as they may. Unless
+// the class is overloaded, those that can still be answered by their deadline
+// wait on among the late ones.
 func (g *Gate) expire(now time.Time) {
 	for len(g.waiting) > 0 && g.waiting[0].tooLate(now) {
 		pass := g.waiting[0]
 		service := g.times[pass.class].nearlyAll()
-		if !g.overloaded(now, pass.class) && pass.wantsMoreTime(now, service) {
-			pass.limitWait(service, false)
-			heap.Fix(&g.waiting, pass.position)
+		mayBeLate := !pass.alone && !g.overloaded(now, pass.class) && pass.wantsMoreTime(now, service)
+		g.unqueue(pass)
+		if !mayBeLate {
+			pass.refuse(g.notRunTooLate(now, pass))
 			continue
 		}
-		g.unqueue(pass)
-		pass.refuse(g.notRunTooLate(now, pass))
+		pass.late = true
+		pass.startBy = pass.deadline.Add(-service)
+		g.queue(now, pass)
 	}
 }
 
 // overloaded reports whether a class gets more calls than slots.
 func (g *Gate) overloaded(now time.Time, class state.PriorityClass) bool {
-	return g.queues[class].standing(now, g.config.StandingAfter)
+	return g.queues[class].standing(now, g.config.StandingAfter) ||
+		g.lateQueues[class].standing(now, g.config.StandingAfter)
 }
 
 func (g *Gate) refuseWaiting() {
@@ -263,12 +271,12 @@
 	}
 }
 
-func (g *Gate) enqueue(now time.Time, pass *Pass) {
-	pass.wait()
+// queue has a pass wait in its queue.
+func (g *Gate) queue(now time.Time, pass *Pass) {
 	if pass.alone {
 		pass.place = g.solitary.PushBack(pass)
 	} else {
-		g.queues[pass.class].push(now, pass)
+		g.queueOf(pass).push(now, pass)
 	}
 	heap.Push(&g.waiting, pass)
 }
@@ -277,7 +285,15 @@
 	if pass.alone {
 		g.solitary.Remove(pass.place)
 	} else {
-		g.queues[pass.class].remove(pass)
+		g.queueOf(pass).remove(pass)
 	}
 	heap.Remove(&g.waiting, pass.position)
 }
+
+// queueOf returns the queue of a pass that does not run alone.
+func (g *Gate) queueOf(pass *Pass) *classQueue {
+	if pass.late {
+		return g.lateQueues[pass.class]
+	}
+	return g.queues[pass.class]
+}
--- a/coordination/admission/grant.go
+++ b/coordination/admission/grant.go
@@ -60,7 +60,7 @@
 
 // mayTakeSlot reports whether class has a waiting pass that may have a slot.
 func (g *Gate) mayTakeSlot(now time.Time, class state.PriorityClass) bool {
-	return g.queues[class].size > 0 && g.hasSlotFor(now, class)
+	return g.queues[class].size+g.lateQueues[class].size > 0 && g.hasSlotFor(now, class)
 }
 
 // hasSlotFor reports whether a slot is free for a call of class. Long calls
@@ -74,8 +74,9 @@
 	return g.running < min(usable, max(1, usable-kept))
 }
 
-// dequeue takes the next pass of class out of its queue, or returns nil. When
-// the class is overloaded, it refuses those that waited for too long.
+// dequeue takes the next pass of class out of its queue, or returns nil: one
+// that can be answered in time, or else a late one. When the class is
+// overloaded, it refuses those that have become late.
 func (g *Gate) dequeue(now time.Time, class state.PriorityClass) *Pass {
 	queue := g.queues[class]
 	service := g.times[class].most()
@@ -88,7 +89,12 @@
 		}
 		pass.refuse(g.notRunTooLate(now, pass))
 	}
-	return nil
+	if g.lateQueues[class].size == 0 {
+		return nil
+	}
+	pass := g.lateQueues[class].pop()
+	heap.Remove(&g.waiting, pass.position)
+	return pass
 }
 
 // aloneIsNext reports whether the next slot is for a pass that runs alone.
--- /dev/null
+++ b/coordination/admission/late_test.go
@@ -0,0 +1,61 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wasabiport/wasabiport/coordination/admission"
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/state"
+)
+
+// wantedAt returns a call of class whose users want the answer at a time.
+func wantedAt(class state.PriorityClass, wanted time.Time) call.Head {
+	head := headOf(class, "a")
+	head.Wanted = wanted
+	return head
+}
+
+func TestCallThatCanOnlyBeLateYieldsToThoseThatCanBeInTime(t *testing.T) {
+	gate := newGate()
+	teach(gate, state.ClassCritical, 100*time.Millisecond)
+	running := fill(t, gate, epoch)
+	late := gate.Request(epoch, wantedAt(state.ClassCritical, epoch.Add(-time.Second)))
+	justLate := gate.Request(epoch, wantedAt(state.ClassCritical, epoch.Add(50*time.Millisecond)))
+	inTime := gate.Request(epoch, wantedAt(state.ClassCritical, epoch.Add(time.Second)))
+	for i, next := range []*admission.Pass{inTime, late, justLate} {
+		require.False(t, decided(next))
+		gate.Release(epoch, running[i])
+		require.True(t, granted(next), "grant %d", i)
+	}
+}
+
+func TestUrgentCallThatIsLateGoesBeforeLessUrgentOnes(t *testing.T) {
+	gate := newGate()
+	running := fill(t, gate, epoch)
+	background := gate.Request(epoch, wantedAt(state.ClassBackground, epoch.Add(time.Second)))
+	late := gate.Request(epoch, wantedAt(state.ClassCritical, epoch.Add(-time.Second)))
+	gate.Release(epoch, running[0])
+	require.True(t, granted(late))
+	require.False(t, decided(background))
+}
+
+// TestCallThatWaitedUntilItIsLateYields has a call wait for so long that it can
+// only be late, while the class is not overloaded.
+func TestCallThatWaitedUntilItIsLateYields(t *testing.T) {
+	gate := newGate()
+	teach(gate, state.ClassCritical, 100*time.Millisecond)
+	running := fill(t, gate, epoch)
+	first := gate.Request(epoch, wantedAt(state.ClassCritical, epoch.Add(250*time.Millisecond)))
+	require.False(t, decided(first))
+	now := epoch.Add(180 * time.Millisecond)
+	gate.Advance(now)
+	require.False(t, decided(first), "it may be late")
+	second := gate.Request(now, wantedAt(state.ClassCritical, now.Add(time.Second)))
+	gate.Release(now, running[0])
+	require.True(t, granted(second))
+	gate.Release(now, running[1])
+	require.True(t, granted(first))
+}
--- a/coordination/admission/pass.go
+++ b/coordination/admission/pass.go
@@ -16,8 +16,10 @@
 	deadline time.Time
 	wanted   time.Time
 	alone    bool
-	decided  chan struct{}
-	refusal  *state.Refusal
+	// late says that the pass can't be answered by the time it is wanted.
+	late    bool
+	decided chan struct{}
+	refusal *state.Refusal
 
 	phase passPhase
 	// granted is the time at which the pass got its slot.
@@ -108,15 +110,6 @@
 	return p.startBy.Before(p.deadline.Add(-service)) && now.Before(p.deadline.Add(-service))
 }
 
-// limitWait sets how long the pass may wait when its call runs for service.
-func (p *Pass) limitWait(service time.Duration, overloaded bool) {
-	if overloaded {
-		p.startBy = p.wanted.Add(-service)
-		return
-	}
-	p.startBy = p.deadline.Add(-service)
-}
-
 // waitingHeap is a min-heap of waiting passes by the latest time to start.
 type waitingHeap []*Pass
 
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -19,7 +19,8 @@
 		g.start(now, pass, false)
 		return pass
 	}
-	g.enqueue(now, pass)
+	pass.wait()
+	g.queue(now, pass)
 	g.settle(now)
 	return pass
 }
@@ -35,17 +36,33 @@
 	case g.canRunNow(now, pass):
 		return nil
 	}
-	if g.overloaded(now, pass.class) {
-		pass.limitWait(g.times[pass.class].most(), true)
-	} else {
-		pass.limitWait(g.times[pass.class].nearlyAll(), false)
-	}
-	if !now.Add(g.estimateWait(now, pass)).Before(pass.startBy) {
+	if !g.limitWait(now, pass) {
 		return g.notRunTooLate(now, pass)
 	}
 	return g.makeRoom(now, pass)
 }
 
+// limitWait decides how long a new pass may wait. It returns false when that is
+// shorter than it would have to.
+func (g *Gate) limitWait(now time.Time, pass *Pass) bool {
+	times := &g.times[pass.class]
+	lastStart := pass.deadline.Add(-times.nearlyAll())
+	inTimeStart := pass.wanted.Add(-times.most())
+	if pass.alone || inTimeStart.After(lastStart) {
+		inTimeStart = lastStart
+	}
+	pass.startBy = inTimeStart
+	if now.Add(g.estimateWait(now, pass)).Before(pass.startBy) {
+		return true
+	}
+	if pass.alone || g.overloaded(now, pass.class) {
+		return false
+	}
+	pass.late = true
+	pass.startBy = lastStart
+	return now.Add(g.estimateWait(now, pass)).Before(pass.startBy)
+}
+
 // canRunNow reports whether a new pass gets a slot without waiting.
 func (g *Gate) canRunNow(now time.Time, pass *Pass) bool {
 	if len(g.waiting) > 0 || g.alone != nil {
@@ -60,9 +77,13 @@
 // estimateWait estimates how long the pass would wait if no more urgent call
 // came from now on.
 func (g *Gate) estimateWait(now time.Time, pass *Pass) time.Duration {
-	work := g.times[pass.class].mean() * time.Duration(g.queues[pass.class].ahead(pass.caller))
-	for class, queue := range g.queues[:pass.class] {
-		work += g.times[class].mean() * time.Duration(queue.size)
+	ahead := g.queueOf(pass).ahead(pass.caller)
+	if pass.late {
+		ahead += g.queues[pass.class].size
+	}
+	work := g.times[pass.class].mean() * time.Duration(ahead)
+	for class := range pass.class {
+		work += g.times[class].mean() * time.Duration(g.queues[class].size+g.lateQueues[class].size)
 	}
 	return work / time.Duration(max(1, g.usable(now)))
 }
@@ -78,7 +99,7 @@
 		}
 		return g.notRunQueueFull(now, pass)
 	}
-	queue := g.queues[pass.class]
+	queue := g.queueOf(pass)
 	if queue.size < queueLimit {
 		return nil
 	}
