Log what a guard decides on a call that it does not answer

Cause: the entry's line carried only the outcome of an attempt; how full the guard was, and by when the answer was wanted, could not be told afterwards.

Change: event 511, at most 20 lines a second a node; the bound of the lines on calls is one type (events.LineLimit), and what is left out is counted by line.

--- a/providers.go
+++ b/providers.go
@@ -134,19 +134,21 @@
 	snapshots *state.SnapshotStore,
 	decisions guard.Decisions,
 	others guard.Others,
+	lines metrics.LineLimits,
 	logger logr.Logger,
 ) *guard.Guard {
 	back := config.Adapter.Back
 	if back == nil {
 		back = httpmap.Back{}
 	}
-	return guard.New(config.Self.Name, back, snapshots, decisions, others, config.Network, logger)
+	return guard.New(config.Self.Name, back, snapshots, decisions, others, config.Network, guard.Log{Logger: logger, Calls: lines.Guard})
 }
 
 func newCallObserver(
 	registry *prometheus.Registry,
 	guard *guard.Guard,
 	plane *control.Plane,
+	lines metrics.LineLimits,
 	logger logr.Logger,
 ) (*calllog.Observer, error) {
 	if err := metrics.RegisterGates(registry, guard); err != nil {
@@ -156,11 +158,7 @@
 	if err != nil {
 		return nil, err
 	}
-	leftOut, err := metrics.NewCallLinesLeftOut(registry)
-	if err != nil {
-		return nil, err
-	}
-	return calllog.New(calls, plane, leftOut, logger), nil
+	return calllog.New(calls, plane, lines.Calls, logger), nil
 }
 
 func newDecisions(config Config, picker *picking.Picker, plane *control.Plane) entry.Decisions {
--- a/transport/calllog/calllog.go
+++ b/transport/calllog/calllog.go
@@ -6,22 +6,14 @@
 import (
 	"fmt"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/time/rate"
 
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/events"
 )
 
-// Bounds of the lines that a node logs on calls.
-const (
-	linesPerSecond = 100
-	burstLines     = 500
-)
-
 // Ages tells how old what a call went by is.
 type Ages interface {
 	// Staleness returns the time since the source has confirmed the
@@ -31,31 +23,17 @@
 	HostListStaleness(now time.Time) (time.Duration, bool)
 }
 
-// Counter counts lines that were left out.
-type Counter interface{ Inc() }
-
 // Observer logs calls and passes them on to another observer.
 type Observer struct {
 	entry.Observer
-	ages    Ages
-	logger  logr.Logger
-	limiter *rate.Limiter
-	// total counts all lines that were left out.
-	total Counter
-	// leftOut counts the lines that were not written since the last one.
-	leftOut atomic.Int64
+	ages   Ages
+	logger logr.Logger
+	limit  *events.LineLimit
 }
 
-// New returns an observer that passes on to next and counts the lines that it
-// leaves out with leftOut.
-func New(next entry.Observer, ages Ages, leftOut Counter, logger logr.Logger) *Observer {
-	return &Observer{
-		Observer: next,
-		ages:     ages,
-		logger:   logger,
-		limiter:  rate.NewLimiter(linesPerSecond, burstLines),
-		total:    leftOut,
-	}
+// New returns an observer that passes on to next.
+func New(next entry.Observer, ages Ages, limit *events.LineLimit, logger logr.Logger) *Observer {
+	return &Observer{Observer: next, ages: ages, logger: logger, limit: limit}
 }
 
 // Ended logs a call if it did not simply go well.
@@ -65,9 +43,8 @@
 		return
 	}
 	now := time.Now()
-	if !o.limiter.AllowN(now, 1) {
-		o.leftOut.Add(1)
-		o.total.Inc()
+	leftOut, ok := o.limit.Take(now)
+	if !ok {
 		return
 	}
 	events.Log(o.logger, events.CallEnded{
@@ -86,7 +63,7 @@
 		Reason:   reason(ended),
 		Detail:   ended.Detail,
 		Attempts: attempts(ended.Attempts),
-		LeftOut:  o.leftOut.Swap(0),
+		LeftOut:  leftOut,
 	})
 }
 
--- a/transport/calllog/calllog_test.go
+++ b/transport/calllog/calllog_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -33,11 +35,13 @@
 
 func (c *count) Inc() { *c++ }
 
+func newLimit() *events.LineLimit { return events.NewLineLimit(100, 500, new(count)) }
+
 func newObserver(t *testing.T) (*calllog.Observer, *bytes.Buffer) {
 	var output bytes.Buffer
 	logger, err := events.NewLogger(&output, events.FormatJSON, events.LevelInfo)
 	require.NoError(t, err)
-	return calllog.New(nobody{}, fixedAges{}, new(count), logger), &output
+	return calllog.New(nobody{}, fixedAges{}, newLimit(), logger), &output
 }
 
 func failed(id state.CallID) entry.Ended {
@@ -88,3 +92,27 @@
 		require.Contains(t, output.String(), `"left_out":9500}`)
 	})
 }
+
+// BenchmarkFailedCall compares a call that is logged with one whose line is left
+// out, and with no log at all.
+func BenchmarkFailedCall(b *testing.B) {
+	logger, err := events.NewLogger(events.NewAsyncWriter(io.Discard), events.FormatJSON, events.LevelInfo)
+	require.NoError(b, err)
+	limits := map[string]*events.LineLimit{
+		"logged":   events.NewLineLimit(math.Inf(1), 1, new(count)),
+		"left out": events.NewLineLimit(0, 0, new(count)),
+	}
+	for name, limit := range limits {
+		observer := calllog.New(nobody{}, fixedAges{}, limit, logger)
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				observer.Ended(failed("id-1"))
+			}
+		})
+	}
+	b.Run("not logged", func(b *testing.B) {
+		for b.Loop() {
+			nobody{}.Ended(failed("id-1"))
+		}
+	})
+}
--- a/transport/events/call.go
+++ b/transport/events/call.go
@@ -36,3 +36,32 @@
 func (CallEnded) Kind() Kind {
 	return Kind{510, LevelInfo, "call-ended", "A call was refused, failed, was cut or took several attempts. At most 100 lines a second; left_out counts the others."}
 }
+
+// GuardRefused is logged by a guard that has not answered a call.
+type GuardRefused struct {
+	Call          state.CallID            `event:"call"`
+	BackendServer state.BackendServerName `event:"backend_server"`
+	Class         state.PriorityClass     `event:"class"`
+	// Left is the time until the deadline when the call came, and Wanted the
+	// time until its users wanted the answer; negative when that has passed,
+	// and 0 when there is none.
+	Left   time.Duration `event:"left"`
+	Wanted time.Duration `event:"wanted"`
+	// Took is the time that the call spent at the guard.
+	Took    time.Duration `event:"took"`
+	Outcome string        `event:"outcome"`
+	Reason  string        `event:"reason"`
+	Detail  string        `event:"detail"`
+	// Running, Waiting and Slots describe the gate when the call came.
+	Running int `event:"running"`
+	Waiting int `event:"waiting"`
+	Slots   int `event:"slots"`
+	// LeftOut is the number of such lines that were not written before this
+	// one.
+	LeftOut int64 `event:"left_out"`
+}
+
+// Kind returns the description of the event.
+func (GuardRefused) Kind() Kind {
+	return Kind{511, LevelInfo, "guard-refused", "The guard of a backend server has refused a call, or has lost its answer. At most 20 lines a second; left_out counts the others."}
+}
--- a/transport/events/catalogue.go
+++ b/transport/events/catalogue.go
@@ -34,6 +34,7 @@
 		BackendServerCrashed{},
 		RequestQuarantined{},
 		CallEnded{},
+		GuardRefused{},
 		KeysReloaded{},
 		KeysRejected{},
 		KeysExpire{},
--- /dev/null
+++ b/transport/events/limit.go
@@ -0,0 +1,38 @@
+package events
+
+import (
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Counter counts lines that were left out.
+type Counter interface{ Inc() }
+
+// LineLimit bounds the log lines of one kind. It is safe for use by many threads.
+type LineLimit struct {
+	limiter *rate.Limiter
+	// total counts all lines that were left out.
+	total Counter
+	// leftOut counts the lines that were not written since the last one.
+	leftOut atomic.Int64
+}
+
+// NewLineLimit returns a limit of perSecond lines a second and burst lines at
+// once.
+func NewLineLimit(perSecond float64, burst int, leftOut Counter) *LineLimit {
+	return &LineLimit{limiter: rate.NewLimiter(rate.Limit(perSecond), burst), total: leftOut}
+}
+
+// Take asks to write one line, and returns the number of lines before it that
+// were left out since the last one. It returns false when the line is to be
+// left out.
+func (l *LineLimit) Take(now time.Time) (leftOut int64, ok bool) {
+	if !l.limiter.AllowN(now, 1) {
+		l.leftOut.Add(1)
+		l.total.Inc()
+		return 0, false
+	}
+	return l.leftOut.Swap(0), true
+}
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -20,6 +20,7 @@
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
+	"github.com/wasabiport/wasabiport/transport/events"
 	"github.com/wasabiport/wasabiport/transport/network"
 )
 
@@ -33,8 +34,10 @@
 	decisions Decisions
 	others    Others
 	logger    logr.Logger
-	gates     *state.ShardedMap[state.BackendServerName, *gate]
-	leaving   atomic.Bool
+	// lines bounds the log lines on calls.
+	lines   *events.LineLimit
+	gates   *state.ShardedMap[state.BackendServerName, *gate]
+	leaving atomic.Bool
 	// left is closed when the guard begins to leave.
 	left chan struct{}
 
@@ -72,6 +75,13 @@
 	ConfirmCrashes bool
 }
 
+// Log is where a guard tells of its decisions.
+type Log struct {
+	Logger logr.Logger
+	// Calls bounds the lines on calls.
+	Calls *events.LineLimit
+}
+
 // New returns a guard for the backend servers of a host.
 func New(
 	host state.HostName,
@@ -80,7 +90,7 @@
 	decisions Decisions,
 	others Others,
 	network network.Network,
-	logger logr.Logger,
+	log Log,
 ) *Guard {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Guard{
@@ -90,7 +100,8 @@
 		snapshots: snapshots,
 		decisions: decisions,
 		others:    others,
-		logger:    logger,
+		logger:    log.Logger,
+		lines:     log.Calls,
 		gates:     state.NewShardedMap[state.BackendServerName, *gate](state.DefaultShardCount),
 		left:      make(chan struct{}),
 		ctx:       ctx,
@@ -101,6 +112,16 @@
 // Handle runs one call and returns the answer of the backend server, or a
 // refusal that says whether the call may have run.
 func (g *Guard) Handle(ctx context.Context, head call.Head, body io.Reader) (*callstream.Reply, *state.Refusal) {
+	came := time.Now()
+	load := g.Load(head.BackendServer)
+	reply, refusal := g.handle(ctx, head, body)
+	if refusal != nil {
+		g.logRefused(came, head, load, refusal)
+	}
+	return reply, refusal
+}
+
+func (g *Guard) handle(ctx context.Context, head call.Head, body io.Reader) (*callstream.Reply, *state.Refusal) {
 	gate, refusal := g.gate(head)
 	if refusal != nil {
 		return nil, refusal
@@ -111,6 +132,34 @@
 	return gate.handle(ctx, ctx, head, body, func() {})
 }
 
+// logRefused logs that a call was not answered.
+func (g *Guard) logRefused(came time.Time, head call.Head, load call.LoadHint, refusal *state.Refusal) {
+	now := time.Now()
+	leftOut, ok := g.lines.Take(now)
+	if !ok {
+		return
+	}
+	var wanted time.Duration
+	if !head.Wanted.IsZero() {
+		wanted = head.Wanted.Sub(came)
+	}
+	events.Log(g.logger, events.GuardRefused{
+		Call:          head.ID,
+		BackendServer: head.BackendServer,
+		Class:         head.Class,
+		Left:          head.Deadline.Sub(came).Round(time.Millisecond),
+		Wanted:        wanted.Round(time.Millisecond),
+		Took:          now.Sub(came).Round(time.Microsecond),
+		Outcome:       refusal.Outcome.String(),
+		Reason:        refusal.Reason.String(),
+		Detail:        refusal.Detail,
+		Running:       load.Running,
+		Waiting:       load.Waiting,
+		Slots:         load.Slots,
+		LeftOut:       leftOut,
+	})
+}
+
 // Load returns the load hint of a backend server.
 func (g *Guard) Load(server state.BackendServerName) call.LoadHint {
 	gate, ok := g.gates.Get(server)
--- a/transport/guard/rig_test.go
+++ b/transport/guard/rig_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
@@ -18,17 +19,18 @@
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/network"
 )
 
 const backendAddress = "192.0.2.7:8080"
 
-// rig is a guard with the one backend server "desk-0".
 // alone is a fleet without other guards.
 type alone struct{}
 
 func (alone) TellGuards([]quarantine.Notice) {}
 
+// rig is a guard with the one backend server "desk-0".
 type rig struct {
 	t       *testing.T
 	network *network.Memory
@@ -53,7 +55,13 @@
 		Suspects: quarantine.NewSuspects(quarantine.Config{}),
 		Owners:   keyowner.NewHistory(time.Hour),
 	}
-	return &rig{t: t, snapshots: snapshots, network: memory, guard: guard.New("host-0", httpmap.Back{}, snapshots, decisions, alone{}, memory, logr.Discard())}
+	limits, err := metrics.NewLineLimits(prometheus.NewRegistry())
+	require.NoError(t, err)
+	log := guard.Log{Logger: logr.Discard(), Calls: limits.Guard}
+	return &rig{
+		t: t, snapshots: snapshots, network: memory,
+		guard: guard.New("host-0", httpmap.Back{}, snapshots, decisions, alone{}, memory, log),
+	}
 }
 
 // serve answers each connection to the backend server with handle.
--- a/transport/metrics/log.go
+++ b/transport/metrics/log.go
@@ -3,16 +3,37 @@
 import (
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wasabiport/wasabiport/transport/events"
+)
+
+// Bounds of the log lines on calls, of each kind: lines a second, and lines at
+// once.
+const (
+	callLinesPerSecond  = 100
+	callLinesBurst      = 500
+	guardLinesPerSecond = 20
+	guardLinesBurst     = 100
 )
 
-// NewCallLinesLeftOut registers the counter of log lines on calls that were
-// left out to bound their volume.
-func NewCallLinesLeftOut(registry prometheus.Registerer) (prometheus.Counter, error) {
-	counter := prometheus.NewCounter(prometheus.CounterOpts{
+// LineLimits bounds the log lines on calls.
+type LineLimits struct {
+	// Calls bounds the lines of an entry node, and Guard those of a guard.
+	Calls, Guard *events.LineLimit
+}
+
+// NewLineLimits registers the counter of log lines on calls that were left out
+// to bound their volume, and returns the bounds.
+func NewLineLimits(registry prometheus.Registerer) (LineLimits, error) {
+	counter := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wasabiport_call_lines_left_out_total",
-		Help: "Log lines on calls that were not written, as there were too many in a second.",
-	})
-	return counter, errors.Wrap(registry.Register(counter), "register the metrics of the log")
+		Help: "Log lines on calls that were not written, as there were too many in a second, by the event's name.",
+	}, []string{"line"})
+	limits := LineLimits{
+		Calls: events.NewLineLimit(callLinesPerSecond, callLinesBurst, counter.WithLabelValues(events.CallEnded{}.Kind().Name)),
+		Guard: events.NewLineLimit(guardLinesPerSecond, guardLinesBurst, counter.WithLabelValues(events.GuardRefused{}.Kind().Name)),
+	}
+	return limits, errors.Wrap(registry.Register(counter), "register the metrics of the log")
 }
 
 // RegisterDroppedLines registers the number of log lines that the output did
--- a/wire.go
+++ b/wire.go
@@ -12,6 +12,7 @@
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/peering"
 )
 
@@ -39,6 +40,7 @@
 	newGuardDecisions,
 	newLogger,
 	newGuard,
+	metrics.NewLineLimits,
 	newCallObserver,
 	newDecisions,
 	newEntry,
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -15,6 +15,7 @@
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/peering"
 )
 
@@ -29,7 +30,15 @@
 	source := newSource(config)
 	logger := newLogger(config)
 	loop := controlloop.New(plane, source, logger)
-	guard := newGuard(config, snapshotStore, decisions, loop, logger)
+	registry, err := newRegistry(config)
+	if err != nil {
+		return nil, err
+	}
+	lineLimits, err := metrics.NewLineLimits(registry)
+	if err != nil {
+		return nil, err
+	}
+	guard := newGuard(config, snapshotStore, decisions, loop, lineLimits, logger)
 	peeringConfig := newPeeringConfig(config, wasabiportIncarnation)
 	network := newNetwork(config)
 	wasabiportPeerSecurity, err := newPeerSecurity(config)
@@ -38,18 +47,14 @@
 	}
 	wasabiportPeerHandler := newPeerHandler(loop, guard)
 	limiter := newHandshakeLimiter(config)
-	registry, err := newRegistry(config)
-	if err != nil {
-		return nil, err
-	}
-	metrics, err := peering.NewMetrics(registry)
+	peeringMetrics, err := peering.NewMetrics(registry)
 	if err != nil {
 		return nil, err
 	}
-	pool := peering.NewPool(peeringConfig, network, wasabiportPeerSecurity, wasabiportPeerHandler, limiter, metrics)
+	pool := peering.NewPool(peeringConfig, network, wasabiportPeerSecurity, wasabiportPeerHandler, limiter, peeringMetrics)
 	picker := newPicker(config, plane)
 	entryDecisions := newDecisions(config, picker, plane)
-	observer, err := newCallObserver(registry, guard, plane, logger)
+	observer, err := newCallObserver(registry, guard, plane, lineLimits, logger)
 	if err != nil {
 		return nil, err
 	}
@@ -80,8 +85,7 @@
 	newSource,
 	newGuardDecisions,
 	newLogger,
-	newGuard,
-	newCallObserver,
+	newGuard, metrics.NewLineLimits, newCallObserver,
 	newDecisions,
 	newEntry,
 	newCallerServer,
