Forget what was seen of backend servers and routes that are gone

Cause: nothing called Picker.Forget, and the means of routes were never dropped, so that both grew with every backend server and route that was ever used. The entry follows the configuration now. Beside it, a read of a caller's connection takes the connection's lock only the first time.

--- a/coordination/picking/picking.go
+++ b/coordination/picking/picking.go
@@ -130,12 +130,17 @@
 	}
 }
 
-// Forget drops what was seen of backend servers that are not in snapshot.
+// Forget drops what was seen of backend servers and routes that are not in
+// snapshot.
 func (p *Picker) Forget(snapshot *state.Snapshot) {
 	p.sights.RemoveIf(func(name state.BackendServerName, _ sight) bool {
 		_, configured := snapshot.BackendServer(name)
 		return !configured
 	})
+	p.routes.usual.RemoveIf(func(name state.RouteName, _ usualAnswer) bool {
+		_, configured := snapshot.Route(name)
+		return !configured
+	})
 }
 
 // pushOut leaves a backend server out for a time with full jitter.
--- a/coordination/picking/picking_test.go
+++ b/coordination/picking/picking_test.go
@@ -347,6 +347,21 @@
 	require.Nil(t, refusal)
 }
 
+func TestWhatIsNotConfiguredAnyMoreIsForgotten(t *testing.T) {
+	f, snapshot := newFleet()
+	picker := newPicker(f)
+	for _, name := range []state.BackendServerName{"lahore-1", "gone"} {
+		answered := request
+		answered.BackendServer = name
+		answered.Route = state.RouteName("route-of-" + name)
+		picker.ObserveAnswer(epoch, answered, picking.Answer{Bytes: 1})
+	}
+	picker.Forget(snapshot)
+	servers, routes := picker.Remembered()
+	require.Equal(t, 1, servers)
+	require.Zero(t, routes)
+}
+
 func TestPickKeyedKeepsToTheOwnerWhateverItsHealth(t *testing.T) {
 	f, snapshot := newFleet()
 	picker := newPicker(f)
--- a/node.go
+++ b/node.go
@@ -49,7 +49,8 @@
 	loop      *controlloop.Loop
 	pool      *peering.Pool
 	keyFiles  *tlsidentity.Files
-	stopKeys  context.CancelFunc
+	// stop ends the threads that follow keys and configuration.
+	stop      context.CancelFunc
 	registry  *prometheus.Registry
 	entry     *entry.Handler
 	callers   *entry.Server
@@ -102,7 +103,8 @@
 	n.threads.Go(func() { _ = n.operators.Serve(n.listeners.operators) })
 	n.threads.Go(n.guard.Watch)
 	var ctx context.Context
-	ctx, n.stopKeys = context.WithCancel(context.Background())
+	ctx, n.stop = context.WithCancel(context.Background())
+	n.threads.Go(func() { n.entry.Watch(ctx) })
 	if n.keyFiles != nil {
 		n.threads.Go(func() { n.keyFiles.Watch(ctx) })
 	}
@@ -205,7 +207,7 @@
 	n.loop.Shutdown()
 	n.guard.Shutdown()
 	n.pool.Shutdown()
-	n.stopKeys()
+	n.stop()
 	n.threads.Wait()
 }
 
--- a/transport/entry/connections.go
+++ b/transport/entry/connections.go
@@ -111,11 +111,13 @@
 	remove func()
 	closed chan struct{}
 
+	// started says that something was read. Only the thread that reads uses it.
+	started bool
+
 	mu    sync.Mutex
 	phase http.ConnState
-	// started says that something was read, and preface that it was the
-	// beginning of HTTP/2.
-	started, preface bool
+	// preface says that what was read first was the beginning of HTTP/2.
+	preface bool
 	// finishing says that the connection is to end once it has no request.
 	finishing bool
 	// ending says that reads are made to fail, as there is no request.
@@ -193,19 +195,17 @@
 
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.noteStart(p[:n])
+	if n > 0 && !c.started {
+		c.started = true
+		c.notePreface(p[:n])
 	}
 	return n, err
 }
 
-func (c *callerConn) noteStart(read []byte) {
+func (c *callerConn) notePreface(read []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.started {
-		c.started = true
-		c.preface = strings.HasPrefix(http2Preface, string(read[:min(len(read), len(http2Preface))]))
-	}
+	c.preface = strings.HasPrefix(http2Preface, string(read[:min(len(read), len(http2Preface))]))
 }
 
 func (c *callerConn) http2() bool {
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -166,6 +166,20 @@
 	}
 }
 
+// Watch follows the configuration until ctx ends, and forgets what was seen of
+// backend servers and routes that are gone.
+func (h *Handler) Watch(ctx context.Context) {
+	for {
+		snapshot, changed := h.snapshots.LoadChanged()
+		h.decisions.Picker.Forget(snapshot)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // answerMargin is the time that a leaving node has to write its last answers.
 const answerMargin = 500 * time.Millisecond
 
