Withdraw the calls of a leaving node that still wait for a slot

Change: when half of the grace is over the entry node withdraws its calls. A guard gives up those that have no slot and says so first-hand, those that run go on; callers are told to come back in a second.

--- a/transport/callstream/callstream.go
+++ b/transport/callstream/callstream.go
@@ -87,10 +87,31 @@
 	Confirm() error
 }
 
+// Withdrawable is the body of a call that its entry node may withdraw.
+type Withdrawable interface {
+	// Withdrawn returns a channel that is closed when the call is not wanted
+	// any more, unless it has its slot.
+	Withdrawn() <-chan struct{}
+}
+
+// LocalBody is the body of a call to a guard on the same node.
+type LocalBody struct {
+	io.Reader
+	withdrawn <-chan struct{}
+}
+
+// NewLocalBody returns a body that is withdrawn when the channel is closed.
+func NewLocalBody(body io.Reader, withdrawn <-chan struct{}) LocalBody {
+	return LocalBody{Reader: body, withdrawn: withdrawn}
+}
+
+// Withdrawn implements Withdrawable.
+func (b LocalBody) Withdrawn() <-chan struct{} { return b.withdrawn }
+
 // Handler runs calls at the guard. A returned Reply is closed by the caller.
 type Handler interface {
 	// Handle runs one call. Reading from body asks the entry node for it. A
-	// body may be Confirmed.
+	// body may be Confirmed and Withdrawable.
 	Handle(ctx context.Context, head call.Head, body io.Reader) (*Reply, *state.Refusal)
 	// Load returns the hint that goes with a refusal.
 	Load(server state.BackendServerName) call.LoadHint
--- a/transport/callstream/client.go
+++ b/transport/callstream/client.go
@@ -24,12 +24,14 @@
 }
 
 // Do sends one call over a stream that it takes over, and returns the answer.
-// When ctx ends, the stream is closed and the guard cancels the call.
-func Do(ctx context.Context, stream net.Conn, head call.Head, body *Body) Answer {
+// When ctx ends, the stream is closed and the guard cancels the call. When
+// wanted ends, the guard gives the call up unless it has its slot.
+func Do(ctx, wanted context.Context, stream net.Conn, head call.Head, body *Body) Answer {
 	client := &client{
 		stream: stream,
 		reader: frame.NewReader(stream),
 		head:   head,
+		wanted: wanted,
 	}
 	client.stopWatch = context.AfterFunc(ctx, client.abort)
 	answer := client.do(body)
@@ -55,6 +57,7 @@
 	reader    *frame.Reader
 	head      call.Head
 	stopWatch func() bool
+	wanted    context.Context
 	// unconfirmed says that the guard must not run the call yet.
 	unconfirmed bool
 }
@@ -77,6 +80,7 @@
 	if err := c.sendHead(body); err != nil {
 		return Answer{Refusal: c.lost()}
 	}
+	defer context.AfterFunc(c.wanted, c.withdraw)()
 	for {
 		var reply wirepb.ReplyFrame
 		if err := frame.Read(c.reader, &reply, maxFrameBytes); err != nil {
@@ -167,6 +171,12 @@
 	return frame.Write(stream, &wirepb.CallFrame{Frame: &wirepb.CallFrame_End{End: end}})
 }
 
+// withdraw tells the guard that the call is not wanted any more.
+func (c *client) withdraw() {
+	// An error means that the stream is gone, which the next read shows.
+	_ = frame.Write(c.stream, &wirepb.CallFrame{Frame: &wirepb.CallFrame_Withdraw{Withdraw: &wirepb.Withdraw{}}})
+}
+
 // abort ends all reads and writes of the stream and closes it.
 func (c *client) abort() {
 	// The errors of a stream that is given up tell nothing.
--- a/transport/callstream/confirm_test.go
+++ b/transport/callstream/confirm_test.go
@@ -43,7 +43,7 @@
 	}
 	ctx, cancel := context.WithDeadline(t.Context(), head.Deadline)
 	defer cancel()
-	return callstream.Do(ctx, near, head, &callstream.Body{Prefix: []byte("notice")})
+	return callstream.Do(ctx, t.Context(), near, head, &callstream.Body{Prefix: []byte("notice")})
 }
 
 func TestCallThatWaitsAtALostGuardHasNotRun(t *testing.T) {
@@ -103,7 +103,7 @@
 		}()
 		go func() {
 			head := call.Head{ID: "id-1", BackendServer: "desk-0", Deadline: time.Now().Add(time.Minute), Method: "POST", Target: "/"}
-			_ = callstream.Do(t.Context(), deafConn{Conn: near, ends: ends}, head, &callstream.Body{})
+			_ = callstream.Do(t.Context(), t.Context(), deafConn{Conn: near, ends: ends}, head, &callstream.Body{})
 		}()
 		require.Error(t, <-confirmed)
 		require.NoError(t, near.Close())
@@ -128,3 +128,36 @@
 		}
 	}
 }
+
+// TestWithdrawnCallThatWaitsHasNotRun withdraws calls of both kinds while they
+// wait, and one that runs.
+func TestWithdrawnCallThatWaitsHasNotRun(t *testing.T) {
+	withdrawn := state.NotRun(state.RefusedCanceled, "withdrawn")
+	guard := guardFunc(func(_ context.Context, body io.Reader) (*callstream.Reply, *state.Refusal) {
+		select {
+		case <-body.(callstream.Withdrawable).Withdrawn():
+			return nil, withdrawn
+		case <-time.After(5 * time.Second):
+			return nil, state.NotRun(state.RefusedShed, "")
+		}
+	})
+	for name, idempotent := range map[string]bool{"idempotent": true, "runs once": false} {
+		t.Run(name, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				go func() { _ = callstream.Serve(t.Context(), far, guard) }()
+				wanted, withdraw := context.WithTimeout(t.Context(), 300*time.Millisecond)
+				defer withdraw()
+				head := call.Head{
+					ID: "id-1", BackendServer: "desk-0", Deadline: time.Now().Add(10 * time.Second),
+					Method: "POST", Target: "/", Idempotent: idempotent,
+				}
+				began := time.Now()
+				answer := callstream.Do(t.Context(), wanted, near, head, &callstream.Body{})
+				require.Equal(t, withdrawn.Outcome, answer.Refusal.Outcome)
+				require.Equal(t, withdrawn.Reason, answer.Refusal.Reason)
+				require.Equal(t, 300*time.Millisecond, time.Since(began))
+			})
+		})
+	}
+}
--- a/transport/callstream/server.go
+++ b/transport/callstream/server.go
@@ -24,7 +24,7 @@
 // error when the stream was lost or the peer broke the protocol.
 func Serve(ctx context.Context, stream net.Conn, handler Handler) error {
 	defer closeStream(stream)
-	server := &server{stream: stream, reader: frame.NewReader(stream)}
+	server := &server{stream: stream, reader: frame.NewReader(stream), withdrawn: make(chan struct{})}
 	head, err := server.readHead()
 	if err != nil {
 		return err
@@ -63,6 +63,17 @@
 	stream        net.Conn
 	reader        *frame.Reader
 	awaitsProceed bool
+	// withdrawn is closed when the entry node has withdrawn the call. Only the
+	// thread that reads closes it, once: isWithdrawn says that it has.
+	withdrawn   chan struct{}
+	isWithdrawn bool
+}
+
+func (s *server) withdraw() {
+	if !s.isWithdrawn {
+		s.isWithdrawn = true
+		close(s.withdrawn)
+	}
 }
 
 func (s *server) readHead() (call.Head, error) {
@@ -95,12 +106,23 @@
 			return
 		}
 		_ = writer.Close()
-		// Nothing follows the end marker but the end of the stream.
-		_, _ = s.reader.ReadByte()
+		s.awaitEnd()
 	}()
 	return &requestBody{server: s, pipe: reader, reader: bufio.NewReaderSize(reader, peekBytes)}
 }
 
+// awaitEnd reads what follows the end marker of a body: nothing but the end of
+// the stream, and before it that the call is withdrawn.
+func (s *server) awaitEnd() {
+	for {
+		var message wirepb.CallFrame
+		if err := frame.Read(s.reader, &message, maxFrameBytes); err != nil || message.GetWithdraw() == nil {
+			return
+		}
+		s.withdraw()
+	}
+}
+
 func (s *server) copyBody(writer *io.PipeWriter) error {
 	var received uint64
 	for {
@@ -119,6 +141,8 @@
 				return errors.Mark(errors.New("request body has another length than its end says"), ErrCut)
 			}
 			return nil
+		case *wirepb.CallFrame_Withdraw:
+			s.withdraw()
 		default:
 			return errors.Mark(errors.New("unexpected frame in a request body"), ErrCut)
 		}
@@ -141,6 +165,9 @@
 	confirmTimeout = 400 * time.Millisecond
 )
 
+// Withdrawn implements Withdrawable.
+func (b *requestBody) Withdrawn() <-chan struct{} { return b.server.withdrawn }
+
 // Queued tells the entry node that the call waits for a slot.
 func (b *requestBody) Queued() error {
 	if !b.server.awaitsProceed {
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -51,7 +51,7 @@
 		decision := h.decide(head, answer.Refusal, attempts, body)
 		switch decision.Action {
 		case retry.ActionAnswer:
-			return nil, decision.Refusal
+			return nil, h.comeBackLater(decision.Refusal)
 		case retry.ActionOtherServer:
 			tried = append(tried, server.Name)
 		case retry.ActionSameServer:
@@ -111,6 +111,20 @@
 	return h.decisions.Retries.Decide(time.Now(), head, refusal, attempts)
 }
 
+// leaverComesBack is when a call that a leaving node has withdrawn may come
+// again: by then its caller has turned to another node, or this one is back.
+const leaverComesBack = time.Second
+
+// comeBackLater says when to come back after a call was withdrawn.
+func (h *Handler) comeBackLater(refusal *state.Refusal) *state.Refusal {
+	if refusal.Reason != state.RefusedCanceled || h.wanted.Err() == nil {
+		return refusal
+	}
+	later := *refusal
+	later.RetryAfter = leaverComesBack
+	return &later
+}
+
 // lastAnswer returns what the caller gets when there is no other attempt.
 func (h *Handler) lastAnswer(head call.Head, refusal *state.Refusal) *state.Refusal {
 	return h.decisions.Retries.Decide(time.Now(), head, refusal, math.MaxInt).Refusal
@@ -140,11 +154,11 @@
 	if err != nil {
 		return callstream.Answer{Refusal: state.NotRun(state.RefusedUnreachable, "the guard can't be reached")}
 	}
-	return callstream.Do(waits.remote, stream, head, body)
+	return callstream.Do(waits.remote, h.wanted, stream, head, body)
 }
 
 func (h *Handler) askLocal(ctx context.Context, head call.Head, body *callstream.Body) callstream.Answer {
-	reply, refusal := h.local.Handle(ctx, head, body.Reader())
+	reply, refusal := h.local.Handle(ctx, head, callstream.NewLocalBody(body.Reader(), h.wanted.Done()))
 	if refusal != nil {
 		return callstream.Answer{Refusal: refusal, Load: h.local.Load(head.BackendServer)}
 	}
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -132,6 +132,9 @@
 	// leaveBy is nil until Leave, and then the time at which all calls have to
 	// have their answers.
 	leaveBy atomic.Pointer[time.Time]
+	// wanted ends when a leaving node withdraws the calls that wait for a slot.
+	wanted   context.Context
+	withdraw context.CancelFunc
 	// ended ends with the time to answer the calls of a leaving node.
 	ended context.Context
 	end   context.CancelFunc
@@ -150,8 +153,11 @@
 	local callstream.Handler,
 	observer Observer,
 ) *Handler {
+	wanted, withdraw := context.WithCancel(context.Background())
 	ended, end := context.WithCancel(context.Background())
 	return &Handler{
+		wanted:    wanted,
+		withdraw:  withdraw,
 		ended:     ended,
 		end:       end,
 		config:    config,
@@ -187,16 +193,23 @@
 // the guard's answer, which tells more, comes first.
 const answerGrace = 50 * time.Millisecond
 
+// withdrawShare is the share of its time after which a leaving node withdraws
+// the calls that wait: those that run need the rest.
+const withdrawShare = 0.5
+
 // Leave makes every answer from now on the last one of its connection. Calls
-// that have none shortly before the deadline of ctx are refused; without a
-// deadline they go on.
+// that still wait for a slot when half of the time to the deadline of ctx is
+// over are withdrawn, and those that have no answer shortly before it are
+// refused; without a deadline they go on.
 func (h *Handler) Leave(ctx context.Context) {
 	var by time.Time
 	if deadline, bounded := ctx.Deadline(); bounded {
 		by = deadline.Add(-answerMargin)
 	}
 	if h.leaveBy.Swap(&by) == nil && !by.IsZero() {
-		time.AfterFunc(time.Until(by), h.end)
+		left := time.Until(by)
+		time.AfterFunc(time.Duration(withdrawShare*float64(left)), h.withdraw)
+		time.AfterFunc(left, h.end)
 	}
 }
 
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -94,9 +94,16 @@
 		// A stream that is lost ends ctx.
 		_ = confirmed.Queued()
 	}
+	var withdrawn <-chan struct{}
+	if withdrawable, ok := body.(callstream.Withdrawable); ok {
+		withdrawn = withdrawable.Withdrawn()
+	}
 	select {
 	case <-pass.Decided():
 		return pass.Refusal()
+	case <-withdrawn:
+		g.admission.Abandon(time.Now(), pass)
+		return state.NotRun(state.RefusedCanceled, "the entry node has withdrawn the call while it waited for a slot")
 	case <-ctx.Done():
 		g.admission.Abandon(time.Now(), pass)
 		return abandoned(ctx.Err())
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -171,6 +171,38 @@
 	})
 }
 
+// TestWithdrawnCallGivesUpItsPlaceAndNotItsSlot withdraws all calls while six of
+// them run and one waits.
+func TestWithdrawnCallGivesUpItsPlaceAndNotItsSlot(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		r := newRig(t, 10)
+		defer r.guard.Shutdown()
+		var received atomic.Int32
+		r.serve(answerSlowly(&received))
+		withdrawn := make(chan struct{})
+		refusals := make(chan *state.Refusal, 7)
+		for range 7 {
+			go func() {
+				body := callstream.NewLocalBody(http.NoBody, withdrawn)
+				reply, refusal := r.doWith(t.Context(), http.MethodPost, "", body)
+				if refusal == nil {
+					_ = reply.Body.Close()
+				}
+				refusals <- refusal
+			}()
+		}
+		synctest.Wait()
+		close(withdrawn)
+		waited := <-refusals
+		require.Equal(t, state.OutcomeNotRun, waited.Outcome)
+		require.Equal(t, state.RefusedCanceled, waited.Reason)
+		for range 6 {
+			require.Nil(t, <-refusals)
+		}
+		require.EqualValues(t, 6, received.Load())
+	})
+}
+
 func TestLeaveFinishesTheCallsThatRun(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		r := newRig(t, 10)
