--- a/node.go
+++ b/node.go
@@ -152,9 +152,11 @@
 
 // Leave ends the node gracefully: it reports itself not ready, so that callers
 // turn away, and its guard goes on for the leave delay, so that no slots stand
-// idle for longer than they must. Then it tells its peers, finishes the calls that run, its
-// peers' and its callers', and closes everything. When ctx ends first it cuts
-// what is left and returns the context's error.
+// idle for longer than they must. Then it tells its peers, finishes the calls
+// that run, its peers' and its callers', and closes everything. When half of
+// the time to the deadline of ctx is over, it withdraws its callers' calls that
+// still wait. When ctx ends first it cuts what is left and returns the context's
+// error.
 func (n *Node) Leave(ctx context.Context) error {
 	n.leaving.Store(true)
 	n.entry.Leave(ctx)
