Count running and waiting calls by priority class

Which class waits at a guard could not be told from the metrics, nor from the log between refusals. Only the metrics change; test beside the other tests of late calls.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// Occupancy is what a gate has in its slots and queues, by priority class.
+type Occupancy struct {
+	BackendServer    state.BackendServerName
+	Running, Waiting [state.ClassCount]int
+	// Slots is the number of slots that may be used at present.
+	Slots int
+}
+
+// Occupancy returns what runs and waits. Calls that wait to run alone are not
+// counted.
+func (g *Gate) Occupancy() Occupancy {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	occupancy := Occupancy{BackendServer: g.server.Name, Slots: g.usable(g.floors.updated)}
+	for class := range g.queues {
+		occupancy.Running[class] = g.entitled[class] + g.spare[class]
+		occupancy.Waiting[class] = g.queues[class].size + g.lateQueues[class].size
+	}
+	return occupancy
+}
+
 // Drain refuses all waiting and new calls from now on. Calls that run finish.
 func (g *Gate) Drain(now time.Time) {
 	g.mu.Lock()
--- a/coordination/admission/late_test.go
+++ b/coordination/admission/late_test.go
@@ -32,6 +32,18 @@
 	}
 }
 
+func TestOccupancyCountsByClass(t *testing.T) {
+	gate := newGate()
+	fill(t, gate, epoch)
+	gate.Request(epoch, wantedAt(state.ClassCritical, epoch.Add(time.Second)))
+	gate.Request(epoch, wantedAt(state.ClassCritical, epoch.Add(-time.Second)))
+	gate.Request(epoch, wantedAt(state.ClassNormal, epoch.Add(time.Second)))
+	occupancy := gate.Occupancy()
+	require.Equal(t, [state.ClassCount]int{state.ClassHigh: slots}, occupancy.Running)
+	require.Equal(t, [state.ClassCount]int{state.ClassCritical: 2, state.ClassNormal: 1}, occupancy.Waiting)
+	require.Equal(t, slots, occupancy.Slots)
+}
+
 func TestUrgentCallThatIsLateGoesBeforeLessUrgentOnes(t *testing.T) {
 	gate := newGate()
 	running := fill(t, gate, epoch)
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/wasabiport/wasabiport/coordination/admission"
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
@@ -169,13 +170,14 @@
 	return gate.admission.Load()
 }
 
-// Loads returns the load hints of all backend servers that have had a call.
-func (g *Guard) Loads() []call.LoadHint {
-	var loads []call.LoadHint
+// Occupancies returns what runs and waits at all backend servers that have had a
+// call.
+func (g *Guard) Occupancies() []admission.Occupancy {
+	var occupancies []admission.Occupancy
 	for _, gate := range g.allGates() {
-		loads = append(loads, gate.admission.Load())
+		occupancies = append(occupancies, gate.admission.Occupancy())
 	}
-	return loads
+	return occupancies
 }
 
 func (g *Guard) allGates() []*gate {
--- a/transport/metrics/gates.go
+++ b/transport/metrics/gates.go
@@ -4,30 +4,33 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/admission"
+	"github.com/wasabiport/wasabiport/state"
 )
 
-// Loads tells how busy the backend servers of a host are.
-type Loads interface {
-	// Loads returns one hint for each backend server that has had a call.
-	Loads() []call.LoadHint
+// Gates tells how busy the backend servers of a host are.
+type Gates interface {
+	// Occupancies returns one value for each backend server that has had a
+	// call.
+	Occupancies() []admission.Occupancy
 }
 
 // gates collects the load of backend servers when it is asked for.
 type gates struct {
-	loads   Loads
+	gates   Gates
 	running *prometheus.Desc
 	waiting *prometheus.Desc
 	slots   *prometheus.Desc
 }
 
 // RegisterGates registers the metrics of a guard.
-func RegisterGates(registry prometheus.Registerer, loads Loads) error {
+func RegisterGates(registry prometheus.Registerer, of Gates) error {
 	labels := []string{"backend_server"}
+	byClass := []string{"backend_server", "class"}
 	collector := &gates{
-		loads:   loads,
-		running: prometheus.NewDesc("wasabiport_backend_server_running_calls", "Calls that hold a slot of the backend server.", labels, nil),
-		waiting: prometheus.NewDesc("wasabiport_backend_server_waiting_calls", "Calls that wait for a slot of the backend server.", labels, nil),
+		gates:   of,
+		running: prometheus.NewDesc("wasabiport_backend_server_running_calls", "Calls that hold a slot of the backend server.", byClass, nil),
+		waiting: prometheus.NewDesc("wasabiport_backend_server_waiting_calls", "Calls that wait for a slot of the backend server.", byClass, nil),
 		slots:   prometheus.NewDesc("wasabiport_backend_server_usable_slots", "Slots of the backend server that may be used at present.", labels, nil),
 	}
 	return errors.Wrap(registry.Register(collector), "register the metrics of backend servers")
@@ -42,13 +45,15 @@
 
 // Collect reads the loads.
 func (g *gates) Collect(metrics chan<- prometheus.Metric) {
-	gauge := func(desc *prometheus.Desc, value int, server string) {
-		metrics <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(value), server)
+	gauge := func(desc *prometheus.Desc, value int, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(value), labels...)
 	}
-	for _, load := range g.loads.Loads() {
-		name := string(load.BackendServer)
-		gauge(g.running, load.Running, name)
-		gauge(g.waiting, load.Waiting, name)
-		gauge(g.slots, load.Slots, name)
+	for _, occupancy := range g.gates.Occupancies() {
+		name := string(occupancy.BackendServer)
+		for _, class := range state.Classes() {
+			gauge(g.running, occupancy.Running[class], name, class.String())
+			gauge(g.waiting, occupancy.Waiting[class], name, class.String())
+		}
+		gauge(g.slots, occupancy.Slots, name)
 	}
 }
