--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -162,27 +162,6 @@
 	}
 }
 
-// Occupancy is what a gate has in its slots and queues, by priority class.
-type Occupancy struct {
-	BackendServer    state.BackendServerName
-	Running, Waiting [state.ClassCount]int
-	// Slots is the number of slots that may be used at present.
-	Slots int
-}
-
-// Occupancy returns what runs and waits. Calls that wait to run alone are not
-// counted.
-func (g *Gate) Occupancy() Occupancy {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	occupancy := Occupancy{BackendServer: g.server.Name, Slots: g.usable(g.floors.updated)}
-	for class := range g.queues {
-		occupancy.Running[class] = g.entitled[class] + g.spare[class]
-		occupancy.Waiting[class] = g.queues[class].size + g.lateQueues[class].size
-	}
-	return occupancy
-}
-
 // Drain refuses all waiting and new calls from now on. Calls that run finish.
 func (g *Gate) Drain(now time.Time) {
 	g.mu.Lock()
@@ -223,8 +202,8 @@
 		entitled: g.entitled,
 		spare:    g.spare,
 	}
-	for class := range g.queues {
-		used.waiting[class] = g.queues[class].size+g.lateQueues[class].size > 0
+	for _, class := range state.Classes() {
+		used.waiting[class] = g.waitingOf(class) > 0
 	}
 	g.floors.update(now, used)
 }
@@ -311,6 +290,11 @@
 	heap.Remove(&g.waiting, pass.position)
 }
 
+// waitingOf returns the number of passes of a class in both of its queues.
+func (g *Gate) waitingOf(class state.PriorityClass) int {
+	return g.queues[class].size + g.lateQueues[class].size
+}
+
 // queueOf returns the queue of a pass that does not run alone.
 func (g *Gate) queueOf(pass *Pass) *classQueue {
 	if pass.late {
--- a/coordination/admission/grant.go
+++ b/coordination/admission/grant.go
@@ -60,7 +60,7 @@
 
 // mayTakeSlot reports whether class has a waiting pass that may have a slot.
 func (g *Gate) mayTakeSlot(now time.Time, class state.PriorityClass) bool {
-	return g.queues[class].size+g.lateQueues[class].size > 0 && g.hasSlotFor(now, class)
+	return g.waitingOf(class) > 0 && g.hasSlotFor(now, class)
 }
 
 // hasSlotFor reports whether a slot is free for a call of class. Long calls
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -87,7 +87,7 @@
 	}
 	work := g.times[pass.class].mean() * time.Duration(ahead)
 	for class := range pass.class {
-		work += g.times[class].mean() * time.Duration(g.queues[class].size+g.lateQueues[class].size)
+		work += g.times[class].mean() * time.Duration(g.waitingOf(class))
 	}
 	return work / time.Duration(max(1, g.usable(now)))
 }
