Log from whom a configuration came, how long it took, and how far a node is behind

When a node served an older configuration than the others, its lines showed the version but not why it was late: whether the store or a peer delivered it, whether the time went into the transfer or into the evaluation, or whether the node had not heard of the version at all.

Events 201 and 202 now name the peer that delivered the ticket (empty: the platform); 201 and 204 give the time from receipt until in force. Event 306 reports an answer of the platform that takes over 100 ms from its first byte to its last, with its size. The metric wasabiport_ticket_offered is the newest ticket that a connected peer has, so a node is behind while it exceeds wasabiport_ticket_judged. Which version decided a call, and its age, were in event 510 already.

No decision changes. Existing fields keep their names and order.

--- a/coordination/control/output.go
+++ b/coordination/control/output.go
@@ -17,11 +17,18 @@
 type Output struct {
 	Messages []Envelope
 	// Verdicts holds one verdict for each evaluated ticket, in order.
-	Verdicts []state.Verdict
+	Verdicts []Verdict
 	// Events are to be logged, in order.
 	Events []Event
 }
 
+// Verdict is the verdict on a ticket and the peer that delivered the ticket.
+type Verdict struct {
+	state.Verdict
+	// From is empty for a ticket that the source delivered.
+	From state.HostName
+}
+
 func (o *Output) send(to state.HostName, message Message) {
 	o.Messages = append(o.Messages, Envelope{To: to, Message: message})
 }
--- a/coordination/control/plane.go
+++ b/coordination/control/plane.go
@@ -123,6 +123,10 @@
 // Version returns the version of the configuration in force.
 func (p *Plane) Version() Version { return p.snapshots.Load().Version() }
 
+// NewestOffered returns the latest ticket that a connected peer has evaluated, 0
+// without peers.
+func (p *Plane) NewestOffered() state.TicketNumber { return p.peers.highestEvaluated() }
+
 // Host returns the state of a host.
 func (p *Plane) Host(name state.HostName) (state.Host, bool) { return p.members.Host(name) }
 
--- a/coordination/control/tickets.go
+++ b/coordination/control/tickets.go
@@ -34,8 +34,8 @@
 		return
 	}
 	p.pendingRequests.ticketsReceived()
-	p.evaluateBaselines(output, added)
-	p.evaluatePending(output)
+	p.evaluateBaselines(output, from, added)
+	p.evaluatePending(output, from)
 	p.forward(now, output, from, added)
 	p.reportGap(now, output, from)
 	p.requestMore(now, output, from, len(tickets))
@@ -53,38 +53,38 @@
 // evaluatePending evaluates all stored tickets that are next in order.
 // Concurrent evaluations yield the same result, and the first one is put in
 // force.
-func (p *Plane) evaluatePending(output *Output) {
+func (p *Plane) evaluatePending(output *Output, from state.HostName) {
 	for {
 		before := p.snapshots.Load()
 		ticket, ok := p.log.Get(before.Evaluated() + 1)
 		if !ok {
 			return
 		}
-		p.evaluate(output, before, ticket)
+		p.evaluate(output, from, before, ticket)
 	}
 }
 
 // evaluateBaselines puts accepted baselines in force even if tickets before
 // them are missing, because the verdict on a baseline does not depend on them.
-func (p *Plane) evaluateBaselines(output *Output, added []state.Ticket) {
+func (p *Plane) evaluateBaselines(output *Output, from state.HostName, added []state.Ticket) {
 	for _, ticket := range added {
 		before := p.snapshots.Load()
 		if !ticket.Baseline || ticket.Number <= before.Evaluated()+1 {
 			continue
 		}
 		if _, verdict := validation.Evaluate(before, ticket); verdict.Accepted() || p.config.FullStateSource {
-			p.evaluate(output, before, ticket)
+			p.evaluate(output, from, before, ticket)
 		}
 	}
 }
 
 // evaluate stores the verdict on a ticket and puts the result in force, unless
 // another goroutine has already done so.
-func (p *Plane) evaluate(output *Output, before *state.Snapshot, ticket state.Ticket) {
+func (p *Plane) evaluate(output *Output, from state.HostName, before *state.Snapshot, ticket state.Ticket) {
 	after, verdict := validation.Evaluate(before, ticket)
 	p.log.SetVerdict(verdict)
 	if p.snapshots.Swap(after) {
-		output.Verdicts = append(output.Verdicts, verdict)
+		output.Verdicts = append(output.Verdicts, Verdict{Verdict: verdict, From: from})
 	}
 }
 
@@ -155,7 +155,7 @@
 		return
 	}
 	output.report(SnapshotApplied{Peer: from, Version: snapshot.Version()})
-	p.evaluatePending(output)
+	p.evaluatePending(output, from)
 	p.broadcast(output, p.offer(now), from)
 	p.schedule.expediteStatus(now)
 }
--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/coordination/validation"
@@ -131,7 +132,7 @@
 func (r *baselineRun) watch(ctx context.Context, accepted func(state.Ticket, *state.Snapshot)) {
 	client := countingClient(&r.bytes.source)
 	defer client.CloseIdleConnections()
-	reader := source.NewClient(r.source.url, client)
+	reader := source.NewClient(r.source.url, client, logr.Discard())
 	snapshot := state.EmptySnapshot()
 	for ctx.Err() == nil {
 		tickets, err := reader.Tickets(ctx, snapshot.Evaluated(), baselineWatchWait)
--- a/providers.go
+++ b/providers.go
@@ -108,7 +108,7 @@
 	if config.Adapter.Source != nil {
 		return config.Adapter.Source
 	}
-	return source.NewClient(config.PlatformURL, config.HTTPClient)
+	return source.NewClient(config.PlatformURL, config.HTTPClient, config.Logger)
 }
 
 func newLogger(config Config) logr.Logger { return config.Logger }
--- a/transport/controlloop/logging.go
+++ b/transport/controlloop/logging.go
@@ -4,27 +4,28 @@
 	"time"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
-	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/events"
 )
 
-func (l *Loop) logOutput(output control.Output) {
+// logOutput logs an output of the plane, which the plane needed duration for.
+func (l *Loop) logOutput(output control.Output, duration time.Duration) {
 	for _, verdict := range output.Verdicts {
-		events.Log(l.logger, verdictEvent(verdict))
+		events.Log(l.logger, verdictEvent(verdict, duration))
 	}
 	for _, event := range output.Events {
-		if logged := toLogEvent(event); logged != nil {
+		if logged := toLogEvent(event, duration); logged != nil {
 			events.Log(l.logger, logged)
 		}
 	}
 }
 
-func verdictEvent(verdict state.Verdict) events.Event {
+func verdictEvent(verdict control.Verdict, duration time.Duration) events.Event {
 	if verdict.Accepted() {
-		return events.TicketAccepted{Ticket: verdict.Number}
+		return events.TicketAccepted{Ticket: verdict.Number, From: verdict.From, Duration: duration}
 	}
 	return events.TicketRejected{
 		Ticket:     verdict.Number,
+		From:       verdict.From,
 		ErrorCount: len(verdict.Errors),
 		Path:       verdict.Errors[0].Path,
 		Reason:     verdict.Errors[0].Reason,
@@ -33,14 +34,14 @@
 
 // toLogEvent converts an event of the control plane to its log event. It returns
 // nil for events that are not logged.
-func toLogEvent(event control.Event) events.Event {
+func toLogEvent(event control.Event, duration time.Duration) events.Event {
 	switch event := event.(type) {
 	case control.TicketGap:
 		return events.TicketGap{Evaluated: event.Evaluated, Next: event.Next}
 	case control.DigestDiverged:
 		return events.DigestDiverged{Peer: event.Peer, Ticket: event.Version.Evaluated, Digest: event.Version.Digest, Local: event.Local.Digest}
 	case control.SnapshotApplied:
-		return events.SnapshotTaken{Peer: event.Peer, Ticket: event.Version.Evaluated}
+		return events.SnapshotTaken{Peer: event.Peer, Ticket: event.Version.Evaluated, Duration: duration}
 	case control.SnapshotRejected:
 		return events.SnapshotRefused{Peer: event.Peer, ErrorCount: len(event.Errors)}
 	case control.HostPhaseChanged:
--- a/transport/controlloop/loop.go
+++ b/transport/controlloop/loop.go
@@ -92,12 +92,15 @@
 }
 
 // Leave announces to the peers that this node accepts no more work.
-func (l *Loop) Leave() { l.execute(l.plane.Leave(time.Now())) }
+func (l *Loop) Leave() {
+	now := time.Now()
+	l.execute(now, l.plane.Leave(now))
+}
 
 // NotifyGuards sends notices of requests that may crash backend servers to the
 // other guards of the fleet.
 func (l *Loop) NotifyGuards(notices []quarantine.Notice) {
-	l.execute(l.plane.BroadcastCrashNotices(notices))
+	l.execute(time.Now(), l.plane.BroadcastCrashNotices(notices))
 }
 
 // Shutdown stops the goroutines and waits for them to end.
@@ -108,34 +111,39 @@
 
 // Receive handles a control message from a peer.
 func (l *Loop) Receive(from state.HostName, message control.Message) {
-	l.execute(l.plane.Receive(time.Now(), from, message))
+	now := time.Now()
+	l.execute(now, l.plane.Receive(now, from, message))
 }
 
 // Connected records that a session to a peer has opened.
 func (l *Loop) Connected(host state.HostName) {
-	l.execute(l.plane.Connected(time.Now(), host))
+	now := time.Now()
+	l.execute(now, l.plane.Connected(now, host))
 }
 
 // Disconnected records that a session to a peer has ended.
 func (l *Loop) Disconnected(host state.HostName) {
-	l.execute(l.plane.Disconnected(time.Now(), host))
+	now := time.Now()
+	l.execute(now, l.plane.Disconnected(now, host))
 }
 
 // execute sends and logs an output of the plane and wakes the goroutines,
-// because the times they wait for may have changed.
-func (l *Loop) execute(output control.Output) {
-	l.sendAndLog(output)
+// because the times they wait for may have changed. started is when the plane was
+// called.
+func (l *Loop) execute(started time.Time, output control.Output) {
+	l.sendAndLog(started, output)
 	notify(l.tickWake)
 	notify(l.ticketsWake)
 	notify(l.hostsWake)
 }
 
-func (l *Loop) sendAndLog(output control.Output) {
+func (l *Loop) sendAndLog(started time.Time, output control.Output) {
+	duration := time.Since(started)
 	for _, send := range output.Messages {
 		// Digest repair recovers the content of messages that are lost.
 		_ = l.peers.Send(send.To, send.Message)
 	}
-	l.logOutput(output)
+	l.logOutput(output, duration)
 }
 
 func notify(wake chan<- struct{}) {
@@ -147,9 +155,10 @@
 
 func (l *Loop) tick(ctx context.Context) {
 	for {
-		output, next := l.plane.Tick(time.Now())
+		now := time.Now()
+		output, next := l.plane.Tick(now)
 		l.updateSessions(ctx)
-		l.sendAndLog(output)
+		l.sendAndLog(now, output)
 		l.reportReady(time.Now())
 		notify(l.ticketsWake)
 		notify(l.hostsWake)
--- a/transport/controlloop/reading.go
+++ b/transport/controlloop/reading.go
@@ -36,10 +36,12 @@
 			l.hostReads.cancelRead()
 		}
 		if err != nil {
-			l.execute(l.plane.HandleTicketsReadFailure(time.Now()))
+			now := time.Now()
+			l.execute(now, l.plane.HandleTicketsReadFailure(now))
 			continue
 		}
-		l.execute(l.plane.HandleTickets(time.Now(), tickets))
+		now := time.Now()
+		l.execute(now, l.plane.HandleTickets(now, tickets))
 	}
 }
 
@@ -62,13 +64,15 @@
 			l.ticketReads.cancelRead()
 		}
 		if err != nil {
-			l.execute(l.plane.HandleHostListReadFailure(time.Now()))
+			now := time.Now()
+			l.execute(now, l.plane.HandleHostListReadFailure(now))
 			continue
 		}
 		if list.Version > read.After {
 			events.Log(l.logger, events.HostListChanged{Version: list.Version, Hosts: len(list.Hosts)})
 		}
-		l.execute(l.plane.HandleHostList(time.Now(), list))
+		now := time.Now()
+		l.execute(now, l.plane.HandleHostList(now, list))
 	}
 }
 
--- a/transport/events/catalogue.go
+++ b/transport/events/catalogue.go
@@ -22,6 +22,7 @@
 		HostListChanged{},
 		SourceAnsweredOld{},
 		SourceValueIgnored{},
+		SourceAnswerSlow{},
 		BackendServerRegistered{},
 		BackendServerUnregistered{},
 		PeerConnected{},
--- a/transport/events/distribution.go
+++ b/transport/events/distribution.go
@@ -1,6 +1,10 @@
 package events
 
-import "github.com/wasabiport/wasabiport/state"
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
 
 // TicketGap is logged when tickets are held back because earlier ones are
 // missing.
@@ -18,11 +22,13 @@
 type SnapshotTaken struct {
 	Peer   state.HostName     `event:"peer"`
 	Ticket state.TicketNumber `event:"ticket"`
+	// Duration is the time from the receipt of the snapshot until it was in force.
+	Duration time.Duration `event:"took"`
 }
 
 // Kind returns the description of the event.
 func (SnapshotTaken) Kind() Kind {
-	return Kind{204, LevelInfo, "snapshot-taken", "A snapshot of the peer's configuration, up to the ticket, is in force on this node."}
+	return Kind{204, LevelInfo, "snapshot-taken", "A snapshot of the peer's configuration, up to the ticket, is in force on this node. Took is the time since it was received."}
 }
 
 // SnapshotRefused is logged when a snapshot of a peer's configuration is
--- a/transport/source/client.go
+++ b/transport/source/client.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/wasabiport/wasabiport/protocol/ticketfile"
 	"github.com/wasabiport/wasabiport/state"
 )
@@ -30,8 +32,8 @@
 
 // NewClient returns a client for the service at a base URL such as
 // "http://192.0.2.1:7000". It does not follow redirects.
-func NewClient(baseURL string, client *http.Client) *Client {
-	return &Client{reader: NewReader(baseURL, client)}
+func NewClient(baseURL string, client *http.Client, logger logr.Logger) *Client {
+	return &Client{reader: NewReader(baseURL, client, logger)}
 }
 
 // Tickets returns the tickets after a number, in order. If there are none, the
--- a/transport/source/client_test.go
+++ b/transport/source/client_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabiport/wasabiport/internal/virtualtime"
@@ -32,7 +33,7 @@
 				return memory.Dial(ctx, address)
 			},
 		}
-		use(t, source.NewClient("http://192.0.2.1:80", &http.Client{Transport: transport}))
+		use(t, source.NewClient("http://192.0.2.1:80", &http.Client{Transport: transport}, logr.Discard()))
 	})
 }
 
--- a/transport/source/reader.go
+++ b/transport/source/reader.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/wasabiport/wasabiport/transport/events"
 )
 
 // Limits of a response.
@@ -22,6 +25,10 @@
 	maxRetryAfter = 5 * time.Minute
 )
 
+// slowAnswer is the time that the body of an answer may take to arrive before it
+// is logged.
+const slowAnswer = 100 * time.Millisecond
+
 // ErrUnavailable marks the errors of reads that got no answer from the service,
 // or an answer that does not have the published format.
 var ErrUnavailable = errors.New("configuration service is not available")
@@ -30,14 +37,15 @@
 type Reader struct {
 	baseURL string
 	http    *http.Client
+	logger  logr.Logger
 }
 
 // NewReader returns a reader for the service at a base URL such as
 // "http://192.0.2.1:7000". It does not follow redirects.
-func NewReader(baseURL string, client *http.Client) *Reader {
+func NewReader(baseURL string, client *http.Client, logger logr.Logger) *Reader {
 	copied := *client
 	copied.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Reader{baseURL: baseURL, http: &copied}
+	return &Reader{baseURL: baseURL, http: &copied, logger: logger}
 }
 
 // Read decodes the document at a path into answer. It fails after timeout. All
@@ -58,7 +66,11 @@
 	if response.StatusCode != http.StatusOK {
 		return markUnavailable(statusError(response), path)
 	}
+	started := time.Now()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if duration := time.Since(started); duration > slowAnswer {
+		events.Log(r.logger, events.SourceAnswerSlow{Path: path, Bytes: len(body), Duration: duration})
+	}
 	if err != nil {
 		return markUnavailable(err, path)
 	}
