--- a/protocol/peerwire/simulation_test.go
+++ b/protocol/peerwire/simulation_test.go
@@ -59,14 +59,15 @@
 	paused    bool
 	// generation is incremented by each start and stop. Events that were
 	// scheduled in an earlier generation are ignored.
-	generation int
-	sessions   map[state.HostName]bool
-	dialedAt   map[state.HostName]time.Time
-	deferred   []func()
-	nextTickAt time.Time
-	reading    [2]bool
-	events     []control.Event
-	bytes      int
+	generation                  int
+	sessions                    map[state.HostName]bool
+	dialedAt                    map[state.HostName]time.Time
+	deferred                    []func()
+	nextTickAt                  time.Time
+	reading                     [2]bool
+	events                      []control.Event
+	bytes                       int
+	uplink, downlink, processor link
 }
 
 // newSimulation returns a simulation of zones times hostsPerZone nodes, none of
@@ -259,7 +260,9 @@
 	sim.bytes += len(raw) + frameOverheadBytes
 	from.bytes += len(raw) + frameOverheadBytes
 	generation := to.generation
-	sim.after(hopDelay, func() {
+	sent := from.uplink.transfer(sim.now, len(raw)+frameOverheadBytes)
+	arrivesAt := to.downlink.transfer(sent.Add(hopDelay), len(raw)+frameOverheadBytes)
+	sim.at(to.processor.transfer(arrivesAt, len(raw)), func() {
 		if to.generation != generation || sim.isCut(from.host, to.host) {
 			return
 		}
--- a/protocol/peerwire/source_test.go
+++ b/protocol/peerwire/source_test.go
@@ -20,6 +20,8 @@
 	sim     *simulation
 	tickets []state.Ticket
 	list    state.HostList
+	// fullState makes the source return only the newest ticket.
+	fullState bool
 	// reachable reports whether a host can read from the source.
 	reachable func(host state.Host) bool
 	// visibleTickets limits the tickets that the source returns, as on a stale
@@ -103,6 +105,9 @@
 	if s.ignoresPosition {
 		first = 0
 	}
+	if s.fullState {
+		first = max(first, len(visible)-1)
+	}
 	return visible[min(first, len(visible)):]
 }
 
@@ -111,18 +116,33 @@
 	tickets := n.plane.NextTicketsRead(sim.now)
 	sim.readOne(n, readTickets, tickets.At, tickets.Watch,
 		func() bool { return len(sim.source.after(tickets.After)) > 0 },
-		func() control.Output { return n.plane.HandleTickets(sim.now, sim.source.after(tickets.After)) },
+		func() sourceAnswer {
+			answer := sim.source.after(tickets.After)
+			return sourceAnswer{
+				bytes: sourceBytes(answer),
+				apply: func() control.Output { return n.plane.HandleTickets(sim.now, answer) },
+			}
+		},
 		func() control.Output { return n.plane.HandleTicketsReadFailure(sim.now) })
 	hosts := n.plane.NextHostListRead(sim.now)
 	sim.readOne(n, readHosts, hosts.At, hosts.Watch,
 		func() bool { return sim.source.list.Version > hosts.After },
-		func() control.Output { return n.plane.HandleHostList(sim.now, sim.source.list) },
+		func() sourceAnswer {
+			return sourceAnswer{apply: func() control.Output { return n.plane.HandleHostList(sim.now, sim.source.list) }}
+		},
 		func() control.Output { return n.plane.HandleHostListReadFailure(sim.now) })
 }
 
+// sourceAnswer is an answer of the source, which passes the link of the node
+// before it is applied.
+type sourceAnswer struct {
+	bytes int
+	apply func() control.Output
+}
+
 func (sim *simulation) readOne(
 	n *node, kind int, at time.Time, watching bool,
-	hasChanges func() bool, answered, failed func() control.Output,
+	hasChanges func() bool, answered func() sourceAnswer, failed func() control.Output,
 ) {
 	if n.reading[kind] {
 		return
@@ -136,23 +156,24 @@
 	s.total++
 	n.reading[kind] = true
 	generation := n.generation
-	finish := func(output func() control.Output) {
-		sim.after(hopDelay, func() {
+	finish := func(answer sourceAnswer) {
+		arrivesAt := n.downlink.transfer(sim.now.Add(hopDelay), answer.bytes)
+		sim.at(n.processor.transfer(arrivesAt, answer.bytes), func() {
 			if n.generation != generation {
 				return
 			}
 			sim.runOn(n, func() {
 				n.reading[kind] = false
-				sim.applyOutput(n, output())
+				sim.applyOutput(n, answer.apply())
 			})
 		})
 	}
 	if !s.reachable(n.host) {
-		finish(failed)
+		finish(sourceAnswer{apply: failed})
 		return
 	}
 	if hasChanges() || !watching {
-		finish(answered)
+		finish(answered())
 		return
 	}
 	w := &watch{}
@@ -162,10 +183,10 @@
 		}
 		w.done = true
 		if !s.reachable(n.host) {
-			finish(failed)
+			finish(sourceAnswer{apply: failed})
 			return
 		}
-		finish(answered)
+		finish(answered())
 	}
 	s.watches = append(s.watches, w)
 	sim.after(watchWait, w.answer)
