Send peers the difference between two versions, not whole configurations

Callers got 404 for a route, or reached the service of an older version, up to 7 s after a version was acknowledged.

Each node then validated all routes. What a node spends on a change thus grew with the configuration; with more than one change in that time, nodes fell behind further and spent processor time and link that calls needed.

Now a node pushes the difference to its previous version (at most 32 KiB) to all peers, which apply it, compare the digest, check what changed, and push it on. A difference that is larger is offered, and requested once.

--- a/coordination/control/event.go
+++ b/coordination/control/event.go
@@ -35,6 +35,13 @@
 	Version Version
 }
 
+// DiffApplied is reported when the difference between two configurations that a
+// peer sent was put in force.
+type DiffApplied struct {
+	Peer    state.HostName
+	Version Version
+}
+
 // SnapshotRejected is reported when the configuration of a peer was
 // inconsistent or did not match its digest.
 type SnapshotRejected struct {
@@ -82,6 +89,7 @@
 
 func (TicketGap) event()         {}
 func (DigestDiverged) event()    {}
+func (DiffApplied) event()       {}
 func (SnapshotApplied) event()   {}
 func (SnapshotRejected) event()  {}
 func (HostPhaseChanged) event()  {}
--- a/coordination/control/message.go
+++ b/coordination/control/message.go
@@ -40,6 +40,9 @@
 	HostListAge time.Duration
 	// Reply is true if the peer should answer with its own offer.
 	Reply bool
+	// AcceptsDiffs is true if the sender understands SnapshotDiff. Nodes of
+	// earlier releases don't.
+	AcceptsDiffs bool
 }
 
 // Tickets carries tickets, ordered by number.
@@ -51,6 +54,9 @@
 // no longer stores them.
 type TicketsRequest struct {
 	After state.TicketNumber
+	// Whole requests a snapshot, because a difference did not lead to its
+	// digest.
+	Whole bool
 }
 
 // Snapshot carries a full configuration.
@@ -60,6 +66,11 @@
 	Digest state.Digest
 }
 
+// SnapshotDiff carries the difference between two configurations.
+type SnapshotDiff struct {
+	Diff state.SnapshotDiff
+}
+
 // HostUpdates carries changes of the state of hosts.
 type HostUpdates struct {
 	Updates []HostUpdate
@@ -101,6 +112,7 @@
 func (Tickets) message()         {}
 func (TicketsRequest) message()  {}
 func (Snapshot) message()        {}
+func (SnapshotDiff) message()    {}
 func (CrashNotices) message()    {}
 func (HostUpdates) message()     {}
 func (HostList) message()        {}
--- a/coordination/control/offer.go
+++ b/coordination/control/offer.go
@@ -18,6 +18,7 @@
 		HostListVersion: p.offeredHostListVersion(now),
 		TicketsAge:      ageOf(now, p.ticketReads.ConfirmedAt()),
 		HostListAge:     ageOf(now, p.hostListReads.ConfirmedAt()),
+		AcceptsDiffs:    true,
 	}
 }
 
@@ -38,7 +39,7 @@
 }
 
 func (p *Plane) handleOffer(now time.Time, output *Output, from state.HostName, offer Offer) {
-	p.peers.recordVersion(from, offer.Version)
+	p.peers.recordOffer(from, offer)
 	p.applyMergeResult(output, from, p.members.MergeDirect(now, HostUpdate{
 		Host: from, Incarnation: offer.Incarnation, Heartbeat: offer.Heartbeat, Phase: offer.Phase,
 	}))
--- a/coordination/control/peer.go
+++ b/coordination/control/peer.go
@@ -15,6 +15,8 @@
 	lastReceivedAt time.Time
 	// version is the latest version that the peer has offered.
 	version Version
+	// acceptsDiffs is true if the peer has said so in its latest offer.
+	acceptsDiffs bool
 }
 
 // peerTable holds the connected peers in shards by host.
@@ -55,7 +57,7 @@
 	})
 }
 
-// recordVersion stores the version that a peer has offered.
+// recordVersion stores the version that a peer has.
 func (t *peerTable) recordVersion(host state.HostName, version Version) {
 	t.peers.Update(host, func(p peer, present bool) (peer, bool) {
 		p.version = version
@@ -63,6 +65,20 @@
 	})
 }
 
+// recordOffer stores what a peer has offered.
+func (t *peerTable) recordOffer(host state.HostName, offer Offer) {
+	t.peers.Update(host, func(p peer, present bool) (peer, bool) {
+		p.version = offer.Version
+		p.acceptsDiffs = offer.AcceptsDiffs
+		return p, present
+	})
+}
+
+func (t *peerTable) acceptsDiffs(host state.HostName) bool {
+	p, _ := t.peers.Get(host)
+	return p.acceptsDiffs
+}
+
 // resetSilenceTimers restarts the silence timers of all peers.
 func (t *peerTable) resetSilenceTimers(now time.Time) {
 	for _, name := range t.names() {
--- a/coordination/control/plane.go
+++ b/coordination/control/plane.go
@@ -25,6 +25,7 @@
 	config          Config
 	snapshots       *state.SnapshotStore
 	log             *state.TicketLog
+	diffs           *diffHistory
 	members         *membership.Table
 	peers           *peerTable
 	links           *dissemination.Links
@@ -45,6 +46,7 @@
 		config:          config,
 		snapshots:       snapshots,
 		log:             state.NewTicketLog(config.TicketLogBytes),
+		diffs:           &diffHistory{},
 		members:         membership.NewTable(config.membership()),
 		peers:           newPeerTable(),
 		links:           dissemination.NewLinks(config.links(), fork(random)),
@@ -75,9 +77,11 @@
 	case Tickets:
 		p.addTickets(now, &output, from, message.Tickets)
 	case TicketsRequest:
-		p.handleTicketsRequest(&output, from, message.After)
+		p.handleTicketsRequest(&output, from, message)
 	case Snapshot:
 		p.applySnapshot(now, &output, from, message)
+	case SnapshotDiff:
+		p.receiveDiff(now, &output, from, message.Diff)
 	case HostUpdates:
 		p.applyMergeResult(&output, from, p.members.Merge(now, message.Updates))
 	case HostList:
--- a/coordination/control/tickets.go
+++ b/coordination/control/tickets.go
@@ -45,7 +45,14 @@
 // requestMore requests further tickets if a batch did not bring the local node
 // up to date with its peers.
 func (p *Plane) requestMore(now time.Time, output *Output, from state.HostName, batch int) {
-	if from != "" && batch > 1 && p.peers.highestEvaluated() > p.Version().Evaluated {
+	if batch > 1 {
+		p.requestNewer(now, output, from)
+	}
+}
+
+// requestNewer requests what the local node lacks if a peer is ahead of it.
+func (p *Plane) requestNewer(now time.Time, output *Output, from state.HostName) {
+	if from != "" && p.peers.highestEvaluated() > p.Version().Evaluated {
 		p.requestTickets(now, output, from)
 	}
 }
@@ -87,7 +94,7 @@
 // another goroutine has already done so.
 func (p *Plane) install(output *Output, from state.HostName, after *state.Snapshot, verdict state.Verdict) {
 	p.log.SetVerdict(verdict)
-	if p.snapshots.Swap(after) {
+	if p.putInForce(after) {
 		output.Verdicts = append(output.Verdicts, Verdict{Verdict: verdict, From: from})
 	}
 }
@@ -96,7 +103,7 @@
 // if the tickets are too large or if the source holds the full state.
 func (p *Plane) forward(now time.Time, output *Output, from state.HostName, added []state.Ticket) {
 	if p.config.FullStateSource {
-		p.broadcast(output, p.offer(now), from)
+		p.forwardDiff(now, output, from)
 		return
 	}
 	size := 0
@@ -127,22 +134,40 @@
 	}
 }
 
-// handleTicketsRequest sends the tickets after a number, or a snapshot if they
-// are no longer stored or too many.
-func (p *Plane) handleTicketsRequest(output *Output, from state.HostName, after state.TicketNumber) {
+// handleTicketsRequest sends the tickets after a number, the difference to the
+// configuration in force, or a snapshot if neither is stored.
+func (p *Plane) handleTicketsRequest(output *Output, from state.HostName, request TicketsRequest) {
 	snapshot := p.snapshots.Load()
-	if after >= snapshot.Evaluated() {
+	if request.After >= snapshot.Evaluated() {
 		return
 	}
-	if snapshot.Evaluated()-after <= maxReplayTickets {
-		if tickets, ok := p.log.Between(after, snapshot.Evaluated(), maxBatchBytes); ok {
-			output.send(from, Tickets{Tickets: tickets})
-			return
-		}
+	if message, ok := p.messageSince(from, request, snapshot.Evaluated()); ok {
+		output.send(from, message)
+		return
 	}
 	output.send(from, Snapshot{Snapshot: snapshot, Digest: snapshot.Digest()})
 }
 
+// messageSince returns what leads a peer from the configuration that it has to the
+// one in force, unless only a snapshot does.
+func (p *Plane) messageSince(peer state.HostName, request TicketsRequest, evaluated state.TicketNumber) (Message, bool) {
+	switch {
+	case request.Whole:
+		return nil, false
+	case p.config.FullStateSource && request.After == 0:
+		// A snapshot is encoded once for all nodes that have just started.
+		return nil, false
+	case p.config.FullStateSource:
+		diff, ok := p.diffs.since(request.After)
+		return SnapshotDiff{Diff: diff}, ok && p.peers.acceptsDiffs(peer)
+	case evaluated-request.After > maxReplayTickets:
+		return nil, false
+	default:
+		tickets, ok := p.log.Between(request.After, evaluated, maxBatchBytes)
+		return Tickets{Tickets: tickets}, ok
+	}
+}
+
 // applySnapshot puts a peer's configuration in force if it is newer, consistent
 // and matches its digest.
 func (p *Plane) applySnapshot(now time.Time, output *Output, from state.HostName, message Snapshot) {
@@ -155,12 +180,13 @@
 		output.report(SnapshotRejected{Peer: from, Errors: errs})
 		return
 	}
-	if !p.snapshots.Swap(snapshot) {
+	if !p.putInForce(snapshot) {
 		return
 	}
 	output.report(SnapshotApplied{Peer: from, Version: snapshot.Version()})
 	p.evaluatePending(output, from)
-	p.broadcast(output, p.offer(now), from)
+	p.forward(now, output, from, nil)
+	p.requestNewer(now, output, from)
 	p.schedule.expediteStatus(now)
 }
 
--- a/coordination/validation/validation.go
+++ b/coordination/validation/validation.go
@@ -36,6 +36,19 @@
 	return builder.Build(ticket.Number, ticket.Number)
 }
 
+// CheckDiff validates a difference that was received from another node, and the
+// configuration to which it leads. before is consistent.
+func CheckDiff(before, after *state.Snapshot, diff state.SnapshotDiff) []state.ValidationError {
+	ticket := state.Ticket{Number: diff.Version.Evaluated, Set: diff.Set}
+	errs := &errorList{}
+	checkTicket(errs, ticket)
+	checkChange(errs, before, after, ticket)
+	ticket.Remove = diff.Remove
+	checkRemovedServices(errs, after, diff.Remove.Services)
+	checkUnavailableServices(errs, before, after, ticket)
+	return errs.list()
+}
+
 // CheckSnapshot validates a complete configuration that was received from another
 // node, so that an inconsistent one is never applied.
 func CheckSnapshot(snapshot *state.Snapshot) []state.ValidationError {
--- a/protocol/peerwire/message.go
+++ b/protocol/peerwire/message.go
@@ -22,11 +22,14 @@
 	case control.Tickets:
 		return &wirepb.PeerMessage{Body: &wirepb.PeerMessage_Tickets{Tickets: encodeTickets(message)}}, nil
 	case control.TicketsRequest:
-		request := &wirepb.Request{After: uint64(message.After)}
+		request := &wirepb.Request{After: uint64(message.After), Whole: message.Whole}
 		return &wirepb.PeerMessage{Body: &wirepb.PeerMessage_Request{Request: request}}, nil
 	case control.Snapshot:
 		snapshot, err := e.encodeSnapshot(message)
 		return &wirepb.PeerMessage{Body: &wirepb.PeerMessage_Snapshot{Snapshot: snapshot}}, err
+	case control.SnapshotDiff:
+		diff := encodeSnapshotDiff(message.Diff)
+		return &wirepb.PeerMessage{Body: &wirepb.PeerMessage_SnapshotDiff{SnapshotDiff: diff}}, nil
 	case control.HostUpdates:
 		return &wirepb.PeerMessage{Body: &wirepb.PeerMessage_Sightings{Sightings: encodeHostUpdates(message)}}, nil
 	case control.HostList:
@@ -60,9 +63,12 @@
 	case *wirepb.PeerMessage_Tickets:
 		return decodeTickets(body.Tickets)
 	case *wirepb.PeerMessage_Request:
-		return control.TicketsRequest{After: state.TicketNumber(body.Request.GetAfter())}, nil
+		request := body.Request
+		return control.TicketsRequest{After: state.TicketNumber(request.GetAfter()), Whole: request.GetWhole()}, nil
 	case *wirepb.PeerMessage_Snapshot:
 		return decodeSnapshot(body.Snapshot)
+	case *wirepb.PeerMessage_SnapshotDiff:
+		return decodeSnapshotDiff(body.SnapshotDiff)
 	case *wirepb.PeerMessage_Sightings:
 		return decodeHostUpdates(body.Sightings)
 	case *wirepb.PeerMessage_HostList:
--- a/protocol/peerwire/offer.go
+++ b/protocol/peerwire/offer.go
@@ -22,6 +22,7 @@
 		TicketsAge:      encodeAge(offer.TicketsAge),
 		HostListAge:     encodeAge(offer.HostListAge),
 		Reply:           offer.Reply,
+		AcceptsDiffs:    offer.AcceptsDiffs,
 	}
 }
 
@@ -39,6 +40,7 @@
 		TicketsAge:      decodeAge(message.GetTicketsAge()),
 		HostListAge:     decodeAge(message.GetHostListAge()),
 		Reply:           message.GetReply(),
+		AcceptsDiffs:    message.GetAcceptsDiffs(),
 	}, nil
 }
 
--- a/protocol/peerwire/ticket.go
+++ b/protocol/peerwire/ticket.go
@@ -31,11 +31,7 @@
 		Number:   uint64(ticket.Number),
 		Baseline: ticket.Baseline,
 		Set:      encodeResources(ticket.Set),
-		Remove: &wirepb.Removals{
-			Routes:         toStrings(ticket.Remove.Routes),
-			Services:       toStrings(ticket.Remove.Services),
-			BackendServers: toStrings(ticket.Remove.BackendServers),
-		},
+		Remove:   encodeRemovals(ticket.Remove),
 	}
 	for _, validationError := range ticket.Malformed {
 		message.Malformed = append(message.Malformed, &wirepb.Fault{Path: validationError.Path, Reason: validationError.Reason})
@@ -52,11 +48,7 @@
 		Number:   state.TicketNumber(message.GetNumber()),
 		Baseline: message.GetBaseline(),
 		Set:      set,
-		Remove: state.Removals{
-			Routes:         fromStrings[state.RouteName](message.GetRemove().GetRoutes()),
-			Services:       fromStrings[state.ServiceName](message.GetRemove().GetServices()),
-			BackendServers: fromStrings[state.BackendServerName](message.GetRemove().GetBackendServers()),
-		},
+		Remove:   decodeRemovals(message.GetRemove()),
 	}
 	for _, validationError := range message.GetMalformed() {
 		ticket.Malformed = append(ticket.Malformed, state.ValidationError{Path: validationError.GetPath(), Reason: validationError.GetReason()})
@@ -64,6 +56,22 @@
 	return ticket, nil
 }
 
+func encodeRemovals(remove state.Removals) *wirepb.Removals {
+	return &wirepb.Removals{
+		Routes:         toStrings(remove.Routes),
+		Services:       toStrings(remove.Services),
+		BackendServers: toStrings(remove.BackendServers),
+	}
+}
+
+func decodeRemovals(message *wirepb.Removals) state.Removals {
+	return state.Removals{
+		Routes:         fromStrings[state.RouteName](message.GetRoutes()),
+		Services:       fromStrings[state.ServiceName](message.GetServices()),
+		BackendServers: fromStrings[state.BackendServerName](message.GetBackendServers()),
+	}
+}
+
 func toStrings[N ~string](names []N) []string {
 	converted := make([]string, 0, len(names))
 	for _, name := range names {
--- a/transport/controlloop/logging.go
+++ b/transport/controlloop/logging.go
@@ -42,6 +42,8 @@
 		return events.DigestDiverged{Peer: event.Peer, Ticket: event.Version.Evaluated, Digest: event.Version.Digest, Local: event.Local.Digest}
 	case control.SnapshotApplied:
 		return events.SnapshotTaken{Peer: event.Peer, Ticket: event.Version.Evaluated, Duration: duration}
+	case control.DiffApplied:
+		return events.ChangesTaken{Peer: event.Peer, Ticket: event.Version.Evaluated, Duration: duration}
 	case control.SnapshotRejected:
 		return events.SnapshotRefused{Peer: event.Peer, ErrorCount: len(event.Errors)}
 	case control.HostPhaseChanged:
--- a/transport/events/catalogue.go
+++ b/transport/events/catalogue.go
@@ -17,6 +17,7 @@
 		SnapshotTaken{},
 		SnapshotRefused{},
 		DigestDiverged{},
+		ChangesTaken{},
 		SourceFailed{},
 		SourceRecovered{},
 		HostListChanged{},
--- a/transport/events/distribution.go
+++ b/transport/events/distribution.go
@@ -66,6 +66,21 @@
 	return Kind{304, LevelInfo, "source-answered-old", "The platform returned older values than were requested. The node keeps the newer ones."}
 }
 
+// ChangesTaken is logged when the difference between two configurations that a
+// peer sent is in force.
+type ChangesTaken struct {
+	Peer   state.HostName     `event:"peer"`
+	Ticket state.TicketNumber `event:"ticket"`
+	// Duration is the time from the receipt of the changes until they were in
+	// force.
+	Duration time.Duration `event:"took"`
+}
+
+// Kind returns the description of the event.
+func (ChangesTaken) Kind() Kind {
+	return Kind{207, LevelInfo, "changes-taken", "The changes up to the ticket, which the peer sent, are in force on this node. Took is the time since they were received."}
+}
+
 // HostPhaseChanged is logged when the known phase of a host changes.
 type HostPhaseChanged struct {
 	Host  state.HostName  `event:"host"`
