Let an answer of the platform take as long as it progresses

Cause: one timeout covered the time that the platform needs for its answer and the time that the answer needs on the link. The second depends on the size of the configuration and on the calls that share the link: one of the maximum size, 1 MB, needs 1.6 s on a free link of 7 Mbit/s, and so could never be read.

Now the timeout ends with the first byte. A body may take 10 s in all and be silent for 1.5 s; its size is limited as before, and by the caller. The test of the slow answer fails on the code before after 5 s (deadline exceeded); those of answers without end, many bytes, few bytes or silence, hold the new bounds.

--- a/transport/source/client.go
+++ b/transport/source/client.go
@@ -98,5 +98,5 @@
 	if wait > 0 {
 		query.Set("wait", wait.String())
 	}
-	return c.reader.Read(ctx, path, query, wait+readTimeout, answer)
+	return c.reader.Read(ctx, path, query, Limits{Timeout: wait + readTimeout}, answer)
 }
--- a/transport/source/reader.go
+++ b/transport/source/reader.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,14 +15,9 @@
 	"github.com/wasabiport/wasabiport/transport/events"
 )
 
-// Limits of a response.
-const (
-	// maxResponseBytes is the maximum size of a response body.
-	maxResponseBytes = 8 << 20
-	// maxRetryAfter caps the delay that the service may ask for in a
-	// Retry-After header.
-	maxRetryAfter = 5 * time.Minute
-)
+// maxRetryAfter caps the delay that the service may ask for in a Retry-After
+// header.
+const maxRetryAfter = 5 * time.Minute
 
 // slowAnswer is the time that the body of an answer may take to arrive before it
 // is logged.
@@ -48,38 +42,57 @@
 	return &Reader{baseURL: baseURL, http: &copied, logger: logger}
 }
 
-// Read decodes the document at a path into answer. It fails after timeout. All
-// errors except an invalid URL are marked with ErrUnavailable; the chain holds a
-// *StatusError or a *ThrottledError when the status was not 200.
-func (r *Reader) Read(ctx context.Context, path string, query url.Values, timeout time.Duration, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+// Limits are the limits of a read.
+type Limits struct {
+	// Timeout is how long the service may take until its answer begins.
+	Timeout time.Duration
+	// MaxBytes is the maximum size of the answer, at most 8 MiB. 0 means 8 MiB.
+	MaxBytes int64
+}
+
+// Read decodes the document at a path into answer. It fails when the answer begins
+// too late, stalls, takes over 10 s or is too large. All errors except an invalid
+// URL are marked with ErrUnavailable, and those of answers that are too large with
+// ErrTooLarge; the chain holds a *StatusError or a *ThrottledError when the status
+// was not 200.
+func (r *Reader) Read(ctx context.Context, path string, query url.Values, limits Limits, answer any) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.baseURL+path+"?"+query.Encode(), http.NoBody)
 	if err != nil {
 		return errors.Wrapf(err, "read %s", path)
 	}
+	noAnswer := time.AfterFunc(limits.Timeout, func() { cancel(errNoAnswer) })
+	defer noAnswer.Stop()
 	response, err := r.http.Do(request)
 	if err != nil {
-		return markUnavailable(err, path)
+		return markUnavailable(withCause(ctx, err), path)
 	}
+	noAnswer.Stop()
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		return markUnavailable(statusError(response), path)
 	}
 	started := time.Now()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := readBody(response, limits.MaxBytes, cancel)
 	if duration := time.Since(started); duration > slowAnswer {
 		events.Log(r.logger, events.SourceAnswerSlow{Path: path, Bytes: len(body), Duration: duration})
 	}
 	if err != nil {
-		return markUnavailable(err, path)
-	}
-	if len(body) > maxResponseBytes {
-		return markUnavailable(errors.Newf("the response has more than %d bytes", maxResponseBytes), path)
+		return markUnavailable(withCause(ctx, err), path)
 	}
 	return markUnavailable(json.Unmarshal(body, answer), path)
 }
 
+// withCause returns the reason why the context of a read was canceled, or err when
+// it was not.
+func withCause(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
 // statusError returns the error for a response with a status other than 200.
 func statusError(response *http.Response) error {
 	throttled := response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable
