Request a large difference from a peer without waiting for the platform

Cause: a node that watches the platform expects it to send what a peer offers, and asks the peer only when an offer that comes 400 ms later or more finds it still behind. Offers come once a second.

Now a node that has a configuration requests the difference at once. The test fails on the code before: the peer keeps version 3.

--- a/coordination/control/diffs_test.go
+++ b/coordination/control/diffs_test.go
@@ -66,6 +66,21 @@
 	}, pair.sent)
 }
 
+// Guards against a node that waits for the source while a peer already has a
+// version, until the source has sent it as a whole over a slow link.
+func TestWatchingNodeRequestsLargeDifferenceAtOnce(t *testing.T) {
+	pair := newPlanePair()
+	hosts := state.HostList{Version: 1, Hosts: []state.Host{{Name: "a", Zone: "north"}, {Name: "b", Zone: "north"}}}
+	for name, plane := range pair.planes {
+		pair.deliver(name, plane.HandleHostList(start, hosts))
+		require.True(t, plane.NextTicketsRead(start).Watch)
+	}
+	pair.read("a", fullState(3, 1000))
+	pair.read("b", fullState(3, 1000))
+	pair.read("a", fullState(4, 3000))
+	pair.requireEqualVersions(t, 4)
+}
+
 func TestPeerThatMissedDifferencesReceivesThemInOne(t *testing.T) {
 	pair := newPlanePair()
 	pair.read("a", fullState(1, 100))
--- a/coordination/control/offer.go
+++ b/coordination/control/offer.go
@@ -51,11 +51,14 @@
 }
 
 // compareVersions requests the tickets that the local node lacks. Only the node
-// that is behind sends a request, so that no ticket is transferred twice.
+// that is behind sends a request, so that no ticket is transferred twice. A node
+// that watches a source of full configurations waits for the source, unless the
+// peer can send a difference.
 func (p *Plane) compareVersions(now time.Time, output *Output, from state.HostName, offer Offer) {
 	local := p.Version()
 	if offer.Version.Evaluated > local.Evaluated {
-		if !p.expectsFromSource(p.ticketReads) || p.pendingRequests.ticketLagPersists(now, local.Evaluated) {
+		sendsDiff := offer.AcceptsDiffs && local.Evaluated > 0
+		if sendsDiff || !p.expectsFromSource(p.ticketReads) || p.pendingRequests.ticketLagPersists(now, local.Evaluated) {
 			p.requestTickets(now, output, from)
 		}
 		return
