Bound the head of an answer to 64 KiB

A backend server that sends bytes without end, in a status line, header fields or informational answers, made its guard read 10 MiB of them for each call: with 11 calls at a time, more than the memory of a host with 112 MB. Callers would have lost the node.

Now it is 64 KiB, as for requests of callers.

--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -23,6 +23,9 @@
 // is rarely sent on a connection that is just being closed.
 const backendIdleTimeout = 4 * time.Second
 
+// maxReplyHeadBytes is the maximum size of the head of a reply.
+const maxReplyHeadBytes = 64 << 10
+
 func (g *Guard) newTransport(server state.BackendServer) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
@@ -36,6 +39,8 @@
 		MaxIdleConnsPerHost: server.Connections,
 		DisableCompression:  true,
 		IdleConnTimeout:     backendIdleTimeout,
+
+		MaxResponseHeaderBytes: maxReplyHeadBytes,
 	}
 }
 
