Don't wait for the body of a refusal of a backend server

When a backend server refused a call but its body did not arrive, the caller waited until the deadline, and the call was not sent to another backend server.

Cause: before the refusal was passed on, up to 4 KiB of its body were read, so that the connection can be used again, without a time limit. Now the connection is closed after 50 ms, and at once if the body is announced as longer.

The test fails on the code before: refusals with and without a length came after 1 s, the deadline; now within 100 ms.

--- a/transport/guard/delivery.go
+++ b/transport/guard/delivery.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -54,18 +55,27 @@
 	}}
 }
 
-// maxDiscardedBytes is how much of a discarded response body is read, so that
+// Limits on the body of a discarded response. A body within them is read, so that
 // its connection can be reused.
-const maxDiscardedBytes = 4 << 10
+const (
+	maxDiscardedBytes = 4 << 10
+	discardTimeout    = 50 * time.Millisecond
+)
 
 // discard drops a response that is not forwarded. With closeConn it closes the
 // connection, because later bytes on it can't be attributed to a request.
 func (d *delivery) discard(response *http.Response, closeConn bool) {
-	if conn := d.conn.Load(); closeConn && conn != nil {
+	conn := d.conn.Load()
+	if closeConn && conn != nil {
 		_ = conn.Close()
 	}
-	// Errors have no effect on the call: http.Transport drops the connection.
-	_, _ = io.CopyN(io.Discard, response.Body, maxDiscardedBytes)
+	if response.ContentLength <= maxDiscardedBytes && conn != nil {
+		timeout := time.AfterFunc(discardTimeout, func() { _ = conn.Close() })
+		defer timeout.Stop()
+		// Errors have no effect on the call: http.Transport drops the
+		// connection.
+		_, _ = io.CopyN(io.Discard, response.Body, maxDiscardedBytes)
+	}
 	_ = response.Body.Close()
 }
 
--- a/transport/guard/endless_test.go
+++ b/transport/guard/endless_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/internal/virtualtime"
+	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -80,6 +82,40 @@
 	}
 }
 
+// refusingMapper takes status 503 for a refusal.
+type refusingMapper struct{ httpmap.BackendMapper }
+
+func (m refusingMapper) Classify(head call.Head, response *http.Response) call.ResponseAssessment {
+	if response.StatusCode == http.StatusServiceUnavailable {
+		return call.ResponseAssessment{Refusal: state.NotRun(state.RefusedShed, "the backend server is full")}
+	}
+	return m.BackendMapper.Classify(head, response)
+}
+
+// Guards against a refusal that waits for the rest of a body that nobody reads.
+func TestRefusalOfBackendServerDoesNotWaitForItsBody(t *testing.T) {
+	heads := map[string]string{
+		"length":    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 3000\r\n\r\n",
+		"no length": "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\r\n",
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				fixture := newFixtureWithMapper(t, 10, refusingMapper{})
+				var accepted atomic.Int64
+				fixture.serve(answerWithoutEnd(head, "x", 10*time.Millisecond, &accepted))
+				started := time.Now()
+				_, refusal := fixture.do(http.MethodGet, "")
+				ended := time.Now()
+				time.Sleep(time.Second) // lets the backend server notice the end
+				require.NotNil(t, refusal)
+				require.Equal(t, state.OutcomeNotRun, refusal.Outcome)
+				require.LessOrEqual(t, ended.Sub(started), 100*time.Millisecond)
+			})
+		})
+	}
+}
+
 func TestBodyWithoutEndIsForwardedUntilTheDeadline(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		fixture := newFixture(t, 10)
--- a/transport/guard/fixture_test.go
+++ b/transport/guard/fixture_test.go
@@ -40,6 +40,10 @@
 }
 
 func newFixture(t *testing.T, connections int) *fixture {
+	return newFixtureWithMapper(t, connections, httpmap.BackendMapper{})
+}
+
+func newFixtureWithMapper(t *testing.T, connections int, mapper guard.BackendMapper) *fixture {
 	builder := state.NewSnapshotBuilder(nil)
 	builder.Set(state.Resources{
 		Services: []state.Service{{Name: "desk", QueueLimits: [state.ClassCount]int{8, 8, 8, 8}}},
@@ -60,7 +64,7 @@
 	logging := guard.Logging{Logger: logr.Discard(), CallLineLimit: limiters.Guard}
 	return &fixture{
 		t: t, snapshots: snapshots, network: memory,
-		guard: guard.New("host-0", httpmap.BackendMapper{}, snapshots, policies, noPeers{}, memory, logging),
+		guard: guard.New("host-0", mapper, snapshots, policies, noPeers{}, memory, logging),
 	}
 }
 
