--- a/protocol/peerwire/simulation_test.go
+++ b/protocol/peerwire/simulation_test.go
@@ -73,8 +73,12 @@
 // newSimulation returns a simulation of zones times hostsPerZone nodes, none of
 // which is started.
 func newSimulation(t require.TestingT, zones, hostsPerZone int) *simulation {
+	return newSeededSimulation(t, 7, zones, hostsPerZone)
+}
+
+func newSeededSimulation(t require.TestingT, seed uint64, zones, hostsPerZone int) *simulation {
 	sim := &simulation{
-		t: t, now: start, random: rand.New(rand.NewPCG(7, 7)),
+		t: t, now: start, random: rand.New(rand.NewPCG(seed, 7)),
 		byName:    make(map[state.HostName]*node),
 		isCut:     func(_, _ state.Host) bool { return false },
 		configure: func(*control.Config) {},
