Find the route of a call by its path prefix, not by comparing all routes

The check for conflicting routes uses the same index in place of its own, and its test, TestConflictCheckComparesOnlyRoutesWithTheSamePrefix, becomes TestRoutesWithPrefixVisitsNoOtherRoutes, which checks the same for the index. New tests compare the route that is found with the order of precedence; they pass on the code before as well.

--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -12,19 +12,23 @@
 // routes for all hosts; among these, the longest matching path prefix wins. host
 // must be in lower case and without the port.
 func Match(snapshot *state.Snapshot, host, path, method string) (state.Route, bool) {
-	if route, ok := firstMatch(snapshot.RoutesForHost(host), path, method); ok {
+	if route, ok := firstMatch(snapshot, host, path, method); ok {
 		return route, true
 	}
-	return firstMatch(snapshot.RoutesForHost(""), path, method)
+	return firstMatch(snapshot, "", path, method)
 }
 
-// firstMatch returns the first route that matches. routes must be sorted by
-// precedence.
-func firstMatch(routes []state.Route, path, method string) (state.Route, bool) {
-	for _, route := range routes {
-		if matchesPath(route.Match.PathPrefix, path) && matchesMethod(route.Match.Methods, method) {
-			return route, true
+// firstMatch returns the route of a host with the longest path prefix that matches.
+// It looks for the whole path, and for each part of it that ends before a slash.
+func firstMatch(snapshot *state.Snapshot, host, path, method string) (state.Route, bool) {
+	for prefix, more := path, true; more; {
+		for route := range snapshot.RoutesWithPrefix(host, prefix+"/") {
+			if matchesPath(route.Match.PathPrefix, path) && matchesMethod(route.Match.Methods, method) {
+				return route, true
+			}
 		}
+		end := strings.LastIndexByte(prefix, '/')
+		prefix, more = prefix[:max(0, end)], end >= 0
 	}
 	return state.Route{}, false
 }
--- a/coordination/validation/change.go
+++ b/coordination/validation/change.go
@@ -135,9 +135,8 @@
 // checkConflicts reports set routes that match the same requests as another
 // route, as their precedence would depend on their names.
 func checkConflicts(errs *errorList, after *state.Snapshot, set []state.Route) {
-	index := newMatchIndex(after)
 	for i, route := range set {
-		for _, other := range index.routesLike(route.Match) {
+		for other := range after.RoutesWithPrefix(strings.ToLower(route.Match.Host), route.Match.PathPrefix) {
 			if other.Name == route.Name || !methodsOverlap(route.Match, other.Match) {
 				continue
 			}
@@ -147,37 +146,6 @@
 	}
 }
 
-// matchIndex finds the routes with the same host and path prefix. It indexes the
-// routes of a host when they are first needed.
-type matchIndex struct {
-	snapshot *state.Snapshot
-	byPrefix map[string]map[string][]state.Route
-}
-
-func newMatchIndex(snapshot *state.Snapshot) *matchIndex {
-	return &matchIndex{snapshot: snapshot, byPrefix: make(map[string]map[string][]state.Route)}
-}
-
-// routesLike returns the routes with the host and path prefix of match, in order
-// of precedence.
-func (m *matchIndex) routesLike(match state.Match) []state.Route {
-	host := strings.ToLower(match.Host)
-	prefixes, indexed := m.byPrefix[host]
-	if !indexed {
-		prefixes = make(map[string][]state.Route)
-		for _, route := range m.snapshot.RoutesForHost(host) {
-			prefix := withoutSlash(route.Match.PathPrefix)
-			prefixes[prefix] = append(prefixes[prefix], route)
-		}
-		m.byPrefix[host] = prefixes
-	}
-	return prefixes[withoutSlash(match.PathPrefix)]
-}
-
-// withoutSlash removes one trailing slash, which makes no difference to the paths
-// that a prefix matches.
-func withoutSlash(prefix string) string { return strings.TrimSuffix(prefix, "/") }
-
 func methodsOverlap(a, b state.Match) bool {
 	if len(a.Methods) == 0 || len(b.Methods) == 0 {
 		// A route with methods takes precedence over a route for all methods,
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -18,7 +18,7 @@
 	services       map[ServiceName]Service
 	backendServers map[BackendServerName]BackendServer
 	byService      map[ServiceName][]BackendServer
-	routesByHost   map[string][]Route
+	routesByHost   map[string]*hostRoutes
 	registry       *Registry
 }
 
@@ -88,14 +88,6 @@
 	return &next
 }
 
-// RoutesForHost returns the routes whose Match.Host is host, in order of
-// precedence: the longest path prefix first and, for equal prefixes, routes with
-// methods before routes for all methods. The empty host returns the routes that
-// match every host. The caller must not modify the slice.
-func (s *Snapshot) RoutesForHost(host string) []Route {
-	return s.routesByHost[host]
-}
-
 // Resources returns a copy of all resources from tickets, sorted by name.
 func (s *Snapshot) Resources() Resources {
 	return Resources{
--- a/state/snapshotbuilder.go
+++ b/state/snapshotbuilder.go
@@ -16,7 +16,7 @@
 	services       map[ServiceName]Service
 	backendServers map[BackendServerName]BackendServer
 	byService      map[ServiceName][]BackendServer
-	routesByHost   map[string][]Route
+	routesByHost   map[string]*hostRoutes
 	// resourceSum is the sum of the hashes of all resources.
 	resourceSum uint64
 	// staleServices and staleHosts are the keys of byService and routesByHost
@@ -37,7 +37,7 @@
 		builder.services = make(map[ServiceName]Service)
 		builder.backendServers = make(map[BackendServerName]BackendServer)
 		builder.byService = make(map[ServiceName][]BackendServer)
-		builder.routesByHost = make(map[string][]Route)
+		builder.routesByHost = make(map[string]*hostRoutes)
 		return builder
 	}
 	builder.routes = maps.Clone(base.routes)
@@ -153,17 +153,18 @@
 	if len(b.staleHosts) == 0 {
 		return
 	}
-	for host := range b.staleHosts {
-		delete(b.routesByHost, host)
-	}
+	routes := make(map[string][]Route, len(b.staleHosts))
 	for _, route := range b.routes {
 		host := normalizedHost(route)
 		if _, stale := b.staleHosts[host]; stale {
-			b.routesByHost[host] = append(b.routesByHost[host], route)
+			routes[host] = append(routes[host], route)
 		}
 	}
 	for host := range b.staleHosts {
-		slices.SortFunc(b.routesByHost[host], compareRoutes)
+		delete(b.routesByHost, host)
+		if len(routes[host]) > 0 {
+			b.routesByHost[host] = newHostRoutes(routes[host])
+		}
 	}
 }
 
