--- a/coordination/control/diffs_test.go
+++ b/coordination/control/diffs_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/validation"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -105,6 +106,50 @@
 	require.Equal(t, 1, pair.sent["control.Snapshot"])
 }
 
+// Guards against a difference that was damaged on its way, or comes from a faulty
+// peer, and is put in force.
+func TestDifferenceThatDoesNotMatchItsDigestIsNotApplied(t *testing.T) {
+	before, after := inForce(t, fullState(1, 3)), inForce(t, fullState(2, 4))
+	damages := map[string]func(*state.SnapshotDiff){
+		"changed": func(d *state.SnapshotDiff) { d.Set.Routes[0].Timeout++ },
+		"missing": func(d *state.SnapshotDiff) { d.Set.Routes = d.Set.Routes[1:] },
+		"removed": func(d *state.SnapshotDiff) { d.Remove.Routes = append(d.Remove.Routes, "route-2") },
+		"number":  func(d *state.SnapshotDiff) { d.Version.Evaluated++ },
+	}
+	for name, damage := range damages {
+		t.Run(name, func(t *testing.T) {
+			plane := newFullStatePlane("a", 1)
+			plane.HandleTickets(start, []state.Ticket{fullState(1, 3)})
+			plane.Connected(start, "b")
+			diff := state.Diff(before, after)
+			damage(&diff)
+			output := plane.Receive(start, "b", control.SnapshotDiff{Diff: diff})
+			require.Equal(t, before.Version(), plane.Version())
+			require.Equal(t, []control.Envelope{{To: "b", Message: control.TicketsRequest{After: 1, Whole: true}}}, output.Messages)
+		})
+	}
+}
+
+// A faulty peer may send an inconsistent configuration with its true digest.
+func TestInconsistentDifferenceIsRejected(t *testing.T) {
+	plane := newFullStatePlane("a", 1)
+	plane.HandleTickets(start, []state.Ticket{fullState(1, 3)})
+	before := inForce(t, fullState(1, 3))
+	builder := state.NewSnapshotBuilder(before)
+	builder.Set(state.Resources{Routes: []state.Route{{Name: "orphan", Service: "none", Timeout: 1, Match: state.Match{PathPrefix: "/"}}}})
+	diff := state.Diff(before, builder.Build(2, 2))
+	output := plane.Receive(start, "b", control.SnapshotDiff{Diff: diff})
+	require.Equal(t, before.Version(), plane.Version())
+	require.IsType(t, control.SnapshotRejected{}, output.Events[0])
+}
+
+// inForce returns the configuration that a ticket leads to.
+func inForce(t *testing.T, ticket state.Ticket) *state.Snapshot {
+	after, verdict := validation.Evaluate(state.EmptySnapshot(), ticket)
+	require.True(t, verdict.Accepted())
+	return after
+}
+
 func TestNodeOfEarlierReleaseReceivesSnapshots(t *testing.T) {
 	plane := newFullStatePlane("a", 1)
 	plane.HandleTickets(start, []state.Ticket{fullState(1, 100)})
