--- a/coordination/control/tickets.go
+++ b/coordination/control/tickets.go
@@ -99,8 +99,8 @@
 	}
 }
 
-// forward pushes new tickets to the other peers. It sends them an offer instead
-// if the tickets are too large or if the source holds the full state.
+// forward pushes new tickets to the other peers, or an offer if they are too large.
+// With a source of full configurations, the peers receive the difference instead.
 func (p *Plane) forward(now time.Time, output *Output, from state.HostName, added []state.Ticket) {
 	if p.config.FullStateSource {
 		p.forwardDiff(now, output, from)
--- a/coordination/validation/change.go
+++ b/coordination/validation/change.go
@@ -14,6 +14,12 @@
 	if !ticket.Baseline {
 		checkRemovals(errs, before, ticket.Remove)
 	}
+	checkConsistency(errs, before, after, ticket)
+}
+
+// checkConsistency checks what the resources that ticket sets and removes refer to,
+// and what refers to them.
+func checkConsistency(errs *errorList, before, after *state.Snapshot, ticket state.Ticket) {
 	checkSetRoutes(errs, after, ticket.Set.Routes)
 	checkSetBackendServers(errs, after, ticket.Set.BackendServers)
 	checkRemovedServices(errs, after, ticket.Remove.Services)
--- a/coordination/validation/validation.go
+++ b/coordination/validation/validation.go
@@ -37,15 +37,12 @@
 }
 
 // CheckDiff validates a difference that was received from another node, and the
-// configuration to which it leads. before is consistent.
+// configuration to which it leads. before is consistent. Unlike those that a ticket
+// removes, resources that a difference removes need not be in before.
 func CheckDiff(before, after *state.Snapshot, diff state.SnapshotDiff) []state.ValidationError {
-	ticket := state.Ticket{Number: diff.Version.Evaluated, Set: diff.Set}
 	errs := &errorList{}
-	checkTicket(errs, ticket)
-	checkChange(errs, before, after, ticket)
-	ticket.Remove = diff.Remove
-	checkRemovedServices(errs, after, diff.Remove.Services)
-	checkUnavailableServices(errs, before, after, ticket)
+	checkTicket(errs, state.Ticket{Number: diff.Version.Evaluated, Set: diff.Set})
+	checkConsistency(errs, before, after, state.Ticket{Set: diff.Set, Remove: diff.Remove})
 	return errs.list()
 }
 
--- a/transport/events/distribution.go
+++ b/transport/events/distribution.go
@@ -40,7 +40,7 @@
 
 // Kind returns the description of the event.
 func (SnapshotRefused) Kind() Kind {
-	return Kind{205, LevelError, "snapshot-refused", "The snapshot that the peer sent is inconsistent or does not match its digest. It is discarded."}
+	return Kind{205, LevelError, "snapshot-refused", "The configuration that the peer sent, as a whole or as changes, is inconsistent or does not match its digest. It is discarded."}
 }
 
 // DigestDiverged is logged when the digest of a peer's configuration differs
