Give each host of the demonstration and the benches an address of its own

Cause: the demonstration chose free ports by listening and closing. Change: a process reserves a loopback network, and each host has an address in it, which outgoing connections never have. The benches, whose network depended on the process id modulo 128, and the tests of processes use the same addresses.

--- a/internal/bench/backends.go
+++ b/internal/bench/backends.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wasabiport/wasabiport/internal/loopback"
 	"github.com/wasabiport/wasabiport/internal/standin"
 	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
@@ -45,11 +46,11 @@
 	return b, nil
 }
 
-func backendAddress(index int) string { return fmt.Sprintf("%s:8080", hostIP(index)) }
+func backendAddress(index int) string { return fmt.Sprintf("%s:8080", loopback.HostIP(index)) }
 
 // callURL returns the URL of a service at the node of a host.
 func callURL(host, service int) string {
-	return fmt.Sprintf("http://%s:%d/%03d/", hostIP(host), callerPort, service)
+	return fmt.Sprintf("http://%s:%d/%03d/", loopback.HostIP(host), callerPort, service)
 }
 
 // ServeHTTP answers a call, after calling the next service if the depth requires
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/wasabiport/wasabiport"
+	"github.com/wasabiport/wasabiport/internal/loopback"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -23,13 +23,6 @@
 // fleet.
 const startTimeout = 60 * time.Second
 
-// hostIP returns the loopback address of a host. The network depends on the
-// process id, so that concurrent runs usually don't collide.
-func hostIP(index int) string {
-	const firstNetwork, networkCount = 64, 128
-	return fmt.Sprintf("127.%d.%d.%d", firstNetwork+os.Getpid()%networkCount, index/250, index%250+1)
-}
-
 // member is a host of the fleet and its node.
 type member struct {
 	index        int
@@ -60,7 +53,7 @@
 			Name:        hostName(i),
 			Zone:        zoneOf(i),
 			Region:      state.Region(fmt.Sprintf("region-%d", i%3)),
-			PeerAddress: fmt.Sprintf("%s:%d", hostIP(i), peerPort),
+			PeerAddress: fmt.Sprintf("%s:%d", loopback.HostIP(i), peerPort),
 		}
 		hosts = append(hosts, host)
 		f.members = append(f.members, &member{index: i, host: host})
@@ -88,8 +81,8 @@
 	config := wasabiport.DefaultConfig()
 	config.Plaintext = true
 	config.Self = m.host
-	config.CallerAddress = fmt.Sprintf("%s:%d", hostIP(m.index), callerPort)
-	config.OperatorAddress = fmt.Sprintf("%s:%d", hostIP(m.index), operatorPort)
+	config.CallerAddress = fmt.Sprintf("%s:%d", loopback.HostIP(m.index), callerPort)
+	config.OperatorAddress = fmt.Sprintf("%s:%d", loopback.HostIP(m.index), operatorPort)
 	config.PlatformURL = f.source.url
 	config.Seed = f.seed + uint64(m.index) + 1
 	config.Network = countingNetwork{bytes: &m.byteCounters.peers}
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/wasabiport/wasabiport/internal/loopback"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -58,7 +59,7 @@
 		Service:     serviceName(host % services),
 		Host:        hostName(host),
 		Zone:        zoneOf(host),
-		Address:     fmt.Sprintf("%s:8080", hostIP(host)),
+		Address:     fmt.Sprintf("%s:8080", loopback.HostIP(host)),
 		Slots:       slotsPerServer,
 		Connections: connections,
 	}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabiport/wasabiport"
 	"github.com/wasabiport/wasabiport/examples"
+	"github.com/wasabiport/wasabiport/internal/loopback"
 	"github.com/wasabiport/wasabiport/internal/standin"
 	"github.com/wasabiport/wasabiport/protocol/ticketfile"
 	"github.com/wasabiport/wasabiport/state"
@@ -19,6 +20,8 @@
 
 const (
 	loopbackAddress = "127.0.0.1:0"
+	// peerPort is the port on which each node listens for peers.
+	peerPort = "7001"
 	// serviceTime is the default service time of the backend servers.
 	serviceTime = 4 * time.Millisecond
 	// waitInterval is the time between two checks of a condition.
@@ -94,23 +97,16 @@
 		}
 		f.tickets = append(f.tickets, ticket)
 	}
-	return f.allocatePeerAddresses(ctx)
+	f.assignPeerAddresses()
+	return nil
 }
 
-// allocatePeerAddresses assigns a free port to the node of each host.
-func (f *fleet) allocatePeerAddresses(ctx context.Context) error {
-	var config net.ListenConfig
+// assignPeerAddresses gives the node of each host an address that stays free while
+// the node is stopped.
+func (f *fleet) assignPeerAddresses() {
 	for i := range f.hosts {
-		listener, err := config.Listen(ctx, "tcp", loopbackAddress)
-		if err != nil {
-			return fmt.Errorf("allocate a port: %w", err)
-		}
-		f.hosts[i].PeerAddress = listener.Addr().String()
-		// All ports stay in use until the last one is allocated, so that they
-		// are distinct.
-		defer func() { _ = listener.Close() }()
+		f.hosts[i].PeerAddress = net.JoinHostPort(loopback.NewHostIP(), peerPort)
 	}
-	return nil
 }
 
 // serve starts an HTTP server and returns its address.
