End the streams of a closing session before its connection is closed

Cause: the multiplexer announces its end to blocked readers and writers, closes the connection and waits for its receiver, and only then ends the streams. Until then a read or write without a deadline goes round without blocking: a core is used for as long as the close takes, and on one processor the reader keeps the receiver from running. Change: the connection below the multiplexer gives all streams a deadline in the past before it is closed; later deadlines are ignored. A secured connection is closed within a second.

--- a/transport/peering/accept.go
+++ b/transport/peering/accept.go
@@ -1,7 +1,6 @@
 package peering
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"time"
@@ -105,7 +104,7 @@
 	if err := handshake.Send(secured, p.localHello(peer.Lane)); err != nil {
 		return err
 	}
-	peerConn := peerConn{conn: &helloConn{Conn: secured, hello: reader}, peer: peer, dialer: peer.Host}
+	peerConn := peerConn{conn: &helloConn{Conn: secured, hello: reader, below: conn}, peer: peer, dialer: peer.Host}
 	_, err = p.startSession(ctx, peerConn)
 	return err
 }
@@ -122,10 +121,6 @@
 	return nil
 }
 
-func newHelloReader(conn net.Conn) *bufio.Reader {
-	return bufio.NewReaderSize(conn, helloBufferBytes)
-}
-
 // recordHandshakeFailure counts and logs a handshake that failed or was refused.
 // The peer is empty when it is not known. Nothing is recorded during shutdown.
 func (p *Pool) recordHandshakeFailure(peer state.HostName, address string, err error) {
--- a/transport/peering/calls.go
+++ b/transport/peering/calls.go
@@ -7,13 +7,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/hashicorp/yamux"
 )
 
 // callStream is a stream that counts as an open call of its session until it
 // is closed.
 type callStream struct {
-	*yamux.Stream
+	*stream
 	session   *session
 	closeOnce sync.Once
 }
@@ -44,20 +43,23 @@
 
 // Close closes the stream and removes the call from the count of its session.
 func (c *callStream) Close() error {
-	c.closeOnce.Do(c.session.endCall)
-	return c.Stream.Close()
+	c.closeOnce.Do(func() {
+		c.session.mux.streams.remove(c.stream)
+		c.session.endCall()
+	})
+	return c.stream.Close()
 }
 
 func (s *session) openCall() (net.Conn, error) {
 	if !s.beginCall() {
 		return nil, errors.New("session is closing after its idle timeout")
 	}
-	stream, err := s.mux.OpenStream()
+	opened, err := s.mux.open()
 	if err != nil {
 		s.endCall()
-		return nil, errors.Wrap(err, "open stream")
+		return nil, err
 	}
-	return &callStream{Stream: stream, session: s}, nil
+	return &callStream{stream: opened, session: s}, nil
 }
 
 // serveCalls accepts call streams until the session ends. Only the side that
@@ -68,16 +70,17 @@
 		p.goroutines.Go(func() { p.closeWhenIdle(session) })
 	}
 	for {
-		stream, err := session.mux.AcceptStream()
+		accepted, err := session.mux.accept(p.ctx)
 		if err != nil {
 			return
 		}
 		if session.calls.Load() >= int64(p.config.MaxStreams) || !session.beginCall() {
 			p.metrics.refused.Inc()
-			_ = stream.Close()
+			session.mux.streams.remove(accepted)
+			_ = accepted.Close()
 			continue
 		}
-		call := &callStream{Stream: stream, session: session}
+		call := &callStream{stream: accepted, session: session}
 		p.goroutines.Go(func() {
 			defer func() { _ = call.Close() }()
 			p.handler.ServeCall(p.ctx, call)
--- a/transport/peering/dial.go
+++ b/transport/peering/dial.go
@@ -147,7 +147,7 @@
 	if peer.Host != host.Name {
 		return nil, errors.Wrapf(ErrIdentityMismatch, "connected to host %q, want %q", peer.Host, host.Name)
 	}
-	peerConn := peerConn{conn: &helloConn{Conn: secured, hello: reader}, peer: peer, dialer: p.config.Self.Name, address: host.PeerAddress}
+	peerConn := peerConn{conn: &helloConn{Conn: secured, hello: reader, below: conn}, peer: peer, dialer: p.config.Self.Name, address: host.PeerAddress}
 	return p.startSession(ctx, peerConn)
 }
 
--- a/transport/peering/mux.go
+++ b/transport/peering/mux.go
@@ -1,9 +1,9 @@
 package peering
 
 import (
-	"bufio"
 	"context"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
@@ -11,29 +11,13 @@
 	"github.com/wasabiport/wasabiport/protocol/handshake"
 )
 
-// helloBufferBytes is the size of the read buffer for the hello. The buffer is
-// released once the multiplexer has read the bytes left in it.
-const helloBufferBytes = 512
-
-// helloConn is a connection that first returns the bytes that were buffered
-// during the handshake.
-type helloConn struct {
-	net.Conn
-	hello *bufio.Reader
-}
-
-func (c *helloConn) Read(p []byte) (int, error) {
-	if c.hello == nil {
-		return c.Conn.Read(p)
-	}
-	if c.hello.Buffered() > 0 {
-		return c.hello.Read(p)
-	}
-	c.hello = nil
-	return c.Conn.Read(p)
+// mux is the multiplexer of a session with its open streams.
+type mux struct {
+	*yamux.Session
+	streams *streamSet
 }
 
-func startMux(conn net.Conn, lane handshake.Lane, dialed bool) (*yamux.Session, error) {
+func startMux(conn net.Conn, lane handshake.Lane, dialed bool) (*mux, error) {
 	config := yamux.DefaultConfig()
 	config.AcceptBacklog = acceptBacklog
 	config.KeepAliveInterval = callKeepAliveInterval
@@ -42,21 +26,68 @@
 	}
 	config.ConnectionWriteTimeout = writeTimeout
 	config.LogOutput = discard{}
+	start := yamux.Server
 	if dialed {
-		return yamux.Client(conn, config)
+		start = yamux.Client
 	}
-	return yamux.Server(conn, config)
+	streams := newStreamSet()
+	session, err := start(&muxConn{Conn: conn, streams: streams}, config)
+	if err != nil {
+		return nil, err
+	}
+	return &mux{Session: session, streams: streams}, nil
+}
+
+func (m *mux) open() (*stream, error) {
+	opened, err := m.OpenStream()
+	if err != nil {
+		return nil, errors.Wrap(err, "open stream")
+	}
+	return m.streams.add(opened), nil
+}
+
+func (m *mux) accept(ctx context.Context) (*stream, error) {
+	accepted, err := m.AcceptStreamWithContext(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "accept stream")
+	}
+	return m.streams.add(accepted), nil
 }
 
 // openControl returns the control stream of a session: the dialing side opens
 // it and the other side accepts it.
-func openControl(ctx context.Context, mux *yamux.Session, dialed bool) (net.Conn, error) {
+func openControl(ctx context.Context, mux *mux, dialed bool) (*stream, error) {
 	if dialed {
-		stream, err := mux.OpenStream()
-		return stream, errors.Wrap(err, "open control stream")
+		return mux.open()
 	}
-	stream, err := mux.AcceptStreamWithContext(ctx)
-	return stream, errors.Wrap(err, "accept control stream")
+	return mux.accept(ctx)
+}
+
+// muxConn is the connection below a multiplexer. A multiplexer that ends wakes the
+// blocked readers and writers of its streams, closes the connection and waits for
+// its receiver, and only then ends the streams. Until then, a read or write that
+// has no deadline would try again without blocking.
+type muxConn struct {
+	net.Conn
+	streams *streamSet
+}
+
+// Close interrupts the streams and closes the connection.
+func (c *muxConn) Close() error {
+	c.streams.interrupt()
+	return c.Conn.Close()
+}
+
+// closeTimeout is the time limit for the last message of a secured connection.
+const closeTimeout = time.Second
+
+// closeWithin closes a secured connection. The connection below it is closed after
+// closeTimeout, so that a peer that reads nothing does not delay the end of a
+// session.
+func closeWithin(secured, below net.Conn) error {
+	abort := time.AfterFunc(closeTimeout, func() { _ = below.Close() })
+	defer abort.Stop()
+	return secured.Close()
 }
 
 // discard drops the multiplexer's log output: the node receives the same
--- a/transport/peering/peering_test.go
+++ b/transport/peering/peering_test.go
@@ -71,7 +71,7 @@
 
 // sendRawControl opens a control session without a Pool and sends raw bytes over
 // its control stream.
-func sendRawControl(t *testing.T, memory *network.Memory, peer *testNode, raw []byte) *yamux.Session {
+func sendRawControl(t *testing.T, memory *network.Memory, peer *testNode, raw []byte) *mux {
 	conn, err := memory.Dial(t.Context(), peer.host.PeerAddress)
 	require.NoError(t, err)
 	require.NoError(t, handshake.Send(conn, handshake.Hello{Host: "bad", Zone: "north", Incarnation: 1, Lane: handshake.LaneControl}))
--- a/transport/peering/session.go
+++ b/transport/peering/session.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/hashicorp/yamux"
 
 	"github.com/wasabiport/wasabiport/protocol/handshake"
 	"github.com/wasabiport/wasabiport/state"
@@ -29,8 +28,8 @@
 type session struct {
 	peerConn
 	key     sessionKey
-	mux     *yamux.Session
-	control net.Conn
+	mux     *mux
+	control *stream
 	queue   chan queueEntry
 
 	// calls counts the open call streams of both sides; lastUse is the Unix
