--- a/config.go
+++ b/config.go
@@ -120,6 +120,18 @@
 	// reads but delays changes. Default 1 s each.
 	TicketWatchPause   time.Duration
 	HostListWatchPause time.Duration
+	// HostListFallbackAfter is the age of the host list at which a node that does
+	// not watch the platform reads it itself, and HostListFallbackSpread the
+	// maximum random delay of the read, during which another node may read in its
+	// place. Shorter times notice sooner that the nodes that watch are lost, and
+	// cost more reads. Default 60 s, and a delay that keeps to SourceFallbackRate.
+	HostListFallbackAfter  time.Duration
+	HostListFallbackSpread time.Duration
+	// FallbackRetryInterval and MaxFallbackRetryInterval are the shortest and the
+	// longest delay after failed reads of a node that does not watch the platform
+	// and has peers. Default the delays of the nodes that watch.
+	FallbackRetryInterval    time.Duration
+	MaxFallbackRetryInterval time.Duration
 	// SourceFallbackRate is the total number of reads per second of all nodes
 	// that do not watch the platform. Default 200.
 	SourceFallbackRate float64
--- a/coordination/control/config.go
+++ b/coordination/control/config.go
@@ -66,6 +66,18 @@
 	// reader reads the source itself. It must be longer than a watch. Default
 	// 60 s.
 	FallbackAfter time.Duration
+	// HostListFallbackAfter is the same for the host list. It bounds how long a
+	// node that has lost the readers sends calls to backend servers that have left.
+	// Default FallbackAfter.
+	HostListFallbackAfter time.Duration
+	// HostListFallbackSpread is the maximum random delay of such a read, see
+	// sourcereading.Config. Default a time that keeps to SourceFallbackRate.
+	HostListFallbackSpread time.Duration
+	// FallbackRetryInterval bounds the delay after the first failed read of a node
+	// that is not a reader and has peers, and MaxFallbackRetryInterval the delay
+	// after further ones. Default SourceRetryInterval and MaxSourceRetryInterval.
+	FallbackRetryInterval    time.Duration
+	MaxFallbackRetryInterval time.Duration
 	// SuspicionTimeout is how long a suspect host may stay silent before it is
 	// considered gone. Default 5 s.
 	SuspicionTimeout time.Duration
@@ -98,6 +110,9 @@
 	setDefault(&c.HostListWatchPause, time.Second)
 	setDefault(&c.ExpiryGrace, 2*time.Second)
 	setDefault(&c.FallbackAfter, time.Minute)
+	setDefault(&c.HostListFallbackAfter, c.FallbackAfter)
+	setDefault(&c.FallbackRetryInterval, c.SourceRetryInterval)
+	setDefault(&c.MaxFallbackRetryInterval, c.MaxSourceRetryInterval)
 	setDefault(&c.SuspicionTimeout, 5*time.Second)
 	setDefault(&c.StatusInterval, 10*time.Second)
 	setDefault(&c.MaxTickDelay, 2*time.Second)
@@ -139,13 +154,34 @@
 	}
 }
 
-func (c Config) sourceReading(watchPause time.Duration) sourcereading.Config {
+// fullStateStartDelay is the time that a started node gives its peers to send the
+// configuration before it reads a source of full configurations.
+const fullStateStartDelay = 1500 * time.Millisecond
+
+func (c Config) ticketReading() sourcereading.Config {
+	config := c.sourceReading()
+	config.WatchPause = c.TicketWatchPause
+	config.FallbackAfter = c.FallbackAfter
+	if c.FullStateSource {
+		config.StartDelay = fullStateStartDelay
+	}
+	return config
+}
+
+func (c Config) hostListReading() sourcereading.Config {
+	config := c.sourceReading()
+	config.WatchPause = c.HostListWatchPause
+	config.FallbackAfter = c.HostListFallbackAfter
+	config.FallbackSpread = c.HostListFallbackSpread
+	return config
+}
+
+func (c Config) sourceReading() sourcereading.Config {
 	return sourcereading.Config{
 		FallbackRate:  c.SourceFallbackRate,
 		ExpectedHosts: c.ExpectedHosts,
-		FallbackAfter: c.FallbackAfter,
-		WatchPause:    watchPause,
 		BusyPause:     200 * time.Millisecond,
 		Retry:         backoff.Policy{Base: c.SourceRetryInterval, Max: c.MaxSourceRetryInterval},
+		FallbackRetry: backoff.Policy{Base: c.FallbackRetryInterval, Max: c.MaxFallbackRetryInterval},
 	}
 }
--- a/coordination/control/expiry.go
+++ b/coordination/control/expiry.go
@@ -18,6 +18,7 @@
 	mu sync.Mutex
 	// sourceFailed is true if the latest read of the host list failed.
 	sourceFailed bool
+	failedAt     time.Time
 	// graceEnd is the end of the grace period after an outage of the source or
 	// after the first list that the node has read.
 	graceEnd time.Time
@@ -35,10 +36,22 @@
 func newExpiredServers(grace time.Duration) *expiredServers { return &expiredServers{grace: grace} }
 
 // recordReadFailure records that a read of the host list failed.
-func (e *expiredServers) recordReadFailure() {
+func (e *expiredServers) recordReadFailure(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sourceFailed = true
+	e.failedAt = now
+}
+
+// recordPeerConfirmation records the time at which the source confirmed the list of
+// a peer, which is the same as the local one. If that is after the latest failure,
+// the local list shows which registrations have expired since.
+func (e *expiredServers) recordPeerConfirmation(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if at.After(e.failedAt) {
+		e.sourceFailed = false
+	}
 }
 
 // reconcile returns the list to use after an answer of the source: the source's
--- a/coordination/control/expiry_test.go
+++ b/coordination/control/expiry_test.go
@@ -32,7 +32,7 @@
 	now := time.Unix(1000, 0)
 	expired := newExpiredServers(2 * time.Second)
 	known := listOf(7, "a", "b")
-	expired.recordReadFailure()
+	expired.recordReadFailure(now)
 
 	retained, uncertain := expired.reconcile(now, known, listOf(9, "b"))
 	require.True(t, uncertain)
@@ -56,7 +56,7 @@
 	remaining, _ := expired.reconcile(now, listOf(7, "a", "b"), listOf(9, "b"))
 	require.Equal(t, []state.BackendServerName{"b"}, namesOf(remaining))
 
-	expired.recordReadFailure()
+	expired.recordReadFailure(now)
 	known := listOf(9, "a", "b", "c")
 	retained, _ := expired.reconcile(now, known, listOf(10, "a", "b"))
 	require.ElementsMatch(t, []state.BackendServerName{"a", "b", "c"}, namesOf(retained))
@@ -116,11 +116,75 @@
 	require.Equal(t, 1, registeredCount(plane))
 }
 
+// TestPeerConfirmationEndsOutage covers a node that was refused by the source, then
+// received the list from peers, and later reads the source itself. A backend server
+// that has left since must not be kept for the grace period.
+func TestPeerConfirmationEndsOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	plane := newFullStatePlane("self")
+	list := listOf(7, "a", "b")
+	plane.HandleHostList(now, list)
+	now = now.Add(5 * time.Second)
+	plane.Connected(now, "peer")
+	plane.HandleHostListReadFailure(now)
+	now = now.Add(5 * time.Second)
+	plane.Receive(now, "peer", Offer{HostListVersion: 8, HostListDigest: list.Digest(), HostListAge: time.Second})
+	now = now.Add(5 * time.Second)
+	plane.HandleHostList(now, listOf(9, "b"))
+	require.Equal(t, 1, registeredCount(plane))
+}
+
+// TestSameListOfLaterVersionIsNotTransferred covers the list of a node that has read
+// the source later and found nothing else. It guards against a transfer of the whole
+// list to each node whenever one starts.
+func TestSameListOfLaterVersionIsNotTransferred(t *testing.T) {
+	now := time.Unix(1000, 0)
+	plane := newFullStatePlane("self")
+	list := listOf(7, "a", "b")
+	plane.HandleHostList(now, list)
+	plane.Connected(now, "peer")
+	now = now.Add(5 * time.Second)
+	offer := Offer{HostListVersion: 9, HostListDigest: list.Digest(), HostListAge: time.Second}
+	output := plane.Receive(now, "peer", offer)
+	for _, message := range output.Messages {
+		_, requested := message.Message.(HostListRequest)
+		require.False(t, requested)
+	}
+	require.Equal(t, uint64(9), plane.offer(now).HostListVersion, "the local list is valid as of the later version")
+	age, known := plane.HostListStaleness(now)
+	require.True(t, known)
+	require.Equal(t, time.Second, age)
+}
+
+// TestChangesOfRegistrationsArePushed guards against whole lists that go from node
+// to node for each change of one backend server.
+func TestChangesOfRegistrationsArePushed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	reader, other := newFullStatePlane("reader"), newFullStatePlane("other")
+	for _, plane := range []*Plane{reader, other} {
+		plane.HandleHostList(now, listOf(7, "a", "b", "c"))
+		plane.Connected(now, "reader")
+		plane.Connected(now, "other")
+	}
+	now = now.Add(5 * time.Second)
+	output := reader.HandleHostList(now, listOf(9, "a", "c"))
+	var pushed []Message
+	for _, message := range output.Messages {
+		if message.To == "other" {
+			pushed = append(pushed, message.Message)
+		}
+	}
+	require.Len(t, pushed, 1)
+	require.IsType(t, HostListChanges{}, pushed[0])
+	other.Receive(now, "reader", pushed[0])
+	require.Equal(t, 2, registeredCount(other))
+}
+
 // TestWatchEndsAtRegistrationRecheck checks that a watch ends with the grace
 // period. A longer watch would keep unregistered backend servers in force.
 func TestWatchEndsAtRegistrationRecheck(t *testing.T) {
 	now := time.Unix(1000, 0)
-	plane := newFullStatePlane("self")
+	plane := newFullStatePlane("b")
 	plane.HandleHostList(now, listOf(7, "a", "b"))
 	plane.HandleHostListReadFailure(now)
 	plane.HandleHostList(now, listOf(9, "b"))
--- a/coordination/control/hosts.go
+++ b/coordination/control/hosts.go
@@ -1,15 +1,17 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wasabiport/wasabiport/coordination/dissemination"
 	"github.com/wasabiport/wasabiport/coordination/membership"
+	"github.com/wasabiport/wasabiport/coordination/sourcereading"
 	"github.com/wasabiport/wasabiport/state"
 )
 
-// maxPushedHosts is the largest number of changed hosts for which host list
-// changes are pushed without a request.
+// maxPushedHosts is the largest number of changed hosts and backend servers for
+// which host list changes are pushed without a request.
 const maxPushedHosts = 64
 
 // applyMergeResult broadcasts the updates and sends corrections back to the
@@ -37,6 +39,11 @@
 	output := p.detectPause(now)
 	known := p.members.List()
 	answer := classifyHostList(list.Version, known.Version)
+	if p.readiness.isReady() && answer != sourcereading.AnswerStale {
+		// This node reads because it has lost the readers that feed it, so it may
+		// have missed a configuration too.
+		p.ticketReads.RequestRead(now)
+	}
 	effective, uncertain := p.expiredServers.reconcile(now, known, list)
 	p.applyHostList(now, &output, "", effective)
 	p.hostListReads.RecordAnswer(now, answer)
@@ -49,17 +56,24 @@
 // HandleHostListReadFailure records that a read of the host list failed.
 func (p *Plane) HandleHostListReadFailure(now time.Time) Output {
 	p.hostListReads.RecordFailure(now)
-	p.expiredServers.recordReadFailure()
+	p.expiredServers.recordReadFailure(now)
 	return Output{}
 }
 
 // NextHostListRead returns the time and kind of the next read of the host list.
 func (p *Plane) NextHostListRead(now time.Time) HostListRead {
 	next := p.hostListReads.Next(now)
-	read := HostListRead{At: next.At, After: p.members.List().Version, Watch: next.Watch}
+	version, _ := p.members.ListVersion()
+	read := HostListRead{
+		At:         next.At,
+		After:      version,
+		Watch:      next.Watch,
+		MayBeStale: !p.readiness.isReady(),
+		Reason:     next.Reason,
+	}
 	recheckAt, due := p.expiredServers.recheckTime()
 	if due && !recheckAt.After(next.At) {
-		return HostListRead{At: recheckAt}
+		return HostListRead{At: recheckAt, Reason: sourcereading.ReasonRecheck}
 	}
 	if due {
 		read.WatchUntil = recheckAt
@@ -122,7 +136,7 @@
 }
 
 func (p *Plane) broadcastHostListChanges(now time.Time, output *Output, from state.HostName, changes membership.Changes) {
-	if p.config.FullStateSource || len(changes.Set)+len(changes.Remove) > maxPushedHosts {
+	if p.expiredServers.isProvisional(now) || changes.Size() > maxPushedHosts {
 		p.broadcast(output, p.offer(now), from)
 		return
 	}
@@ -152,8 +166,14 @@
 	leaving := p.members.Self().Phase != state.HostLive
 	list := p.members.List()
 	reader := topology.Reader || dissemination.RankInZone(p.config.Self, hosts) < p.config.ReadersPerZone
-	reader = reader && !leaving && list.Version > 0
+	reader = reader && !leaving && listsHost(list, p.config.Self.Name)
 	p.ticketReads.SetRole(now, reader, len(list.Hosts))
 	p.hostListReads.SetRole(now, reader, len(list.Hosts))
 	p.schedule.recordRebuild(now, generation)
 }
+
+// listsHost reports whether a host is in the list. A node that is not takes no role
+// that its peers don't expect of it.
+func listsHost(list state.HostList, name state.HostName) bool {
+	return slices.ContainsFunc(list.Hosts, func(host state.Host) bool { return host.Name == name })
+}
--- a/coordination/control/offer.go
+++ b/coordination/control/offer.go
@@ -10,25 +10,27 @@
 // offer increments the heartbeat of the local node and returns its next offer.
 func (p *Plane) offer(now time.Time) Offer {
 	self := p.members.NextHeartbeat()
+	listVersion, listDigest := p.offeredHostList(now)
 	return Offer{
 		Version:         p.Version(),
 		Incarnation:     self.Incarnation,
 		Heartbeat:       self.Heartbeat,
 		Phase:           self.Phase,
-		HostListVersion: p.offeredHostListVersion(now),
+		HostListVersion: listVersion,
+		HostListDigest:  listDigest,
 		TicketsAge:      ageOf(now, p.ticketReads.ConfirmedAt()),
 		HostListAge:     ageOf(now, p.hostListReads.ConfirmedAt()),
 		AcceptsDiffs:    true,
 	}
 }
 
-// offeredHostListVersion returns the version of the host list that peers may
-// request, or 0 while the list is provisional.
-func (p *Plane) offeredHostListVersion(now time.Time) uint64 {
+// offeredHostList returns the version and the digest of the host list that peers
+// may request, or 0 while the list is provisional.
+func (p *Plane) offeredHostList(now time.Time) (uint64, state.Digest) {
 	if p.expiredServers.isProvisional(now) {
-		return 0
+		return 0, 0
 	}
-	return p.members.List().Version
+	return p.members.ListVersion()
 }
 
 func ageOf(now, confirmedAt time.Time) time.Duration {
@@ -75,20 +77,27 @@
 	}
 }
 
+// compareHostLists requests the host list of a peer if it is newer and differs from
+// the local one. A peer with the same list confirms it as of its last read.
 func (p *Plane) compareHostLists(now time.Time, output *Output, from state.HostName, offer Offer) {
-	local := p.members.List().Version
-	switch {
-	case offer.HostListVersion == 0:
+	if offer.HostListVersion == 0 {
 		// The peer has no host list, or only a provisional one.
-	case offer.HostListVersion > local:
-		if p.expectsFromSource(p.hostListReads) && !p.pendingRequests.hostListLagPersists(now, local) {
-			return
-		}
-		if p.pendingRequests.mayRequestHostList(now) {
-			output.send(from, HostListRequest{Have: local})
-		}
-	case offer.HostListVersion == local && offer.HostListAge != NeverConfirmed:
-		p.hostListReads.RecordPeerConfirmation(now, now.Add(-offer.HostListAge))
+		return
+	}
+	local, _ := p.members.ListVersion()
+	same := offer.HostListVersion == local
+	if offer.HostListDigest != 0 {
+		same = p.members.ConfirmList(offer.HostListVersion, offer.HostListDigest)
+	}
+	switch {
+	case same && offer.HostListAge != NeverConfirmed:
+		confirmedAt := now.Add(-offer.HostListAge)
+		p.hostListReads.RecordPeerConfirmation(now, confirmedAt)
+		p.expiredServers.recordPeerConfirmation(confirmedAt)
+	case same || offer.HostListVersion < local:
+	case p.expectsFromSource(p.hostListReads) && !p.pendingRequests.hostListLagPersists(now, local):
+	case p.pendingRequests.mayRequestHostList(now):
+		output.send(from, HostListRequest{Have: local})
 	}
 }
 
--- a/coordination/control/output.go
+++ b/coordination/control/output.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wasabiport/wasabiport/coordination/sourcereading"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -43,7 +44,8 @@
 	// After is the number of the latest evaluated ticket.
 	After state.TicketNumber
 	// Watch asks the source to hold the read until there is a newer ticket.
-	Watch bool
+	Watch  bool
+	Reason sourcereading.Reason
 }
 
 // HostListRead is the time and kind of the next read of the host list.
@@ -56,4 +58,8 @@
 	// list, but not beyond WatchUntil unless that is zero.
 	Watch      bool
 	WatchUntil time.Time
+	// MayBeStale allows an answer that is some seconds old, because this node
+	// serves no callers yet. It is recognized by its version.
+	MayBeStale bool
+	Reason     sourcereading.Reason
 }
--- a/coordination/control/source.go
+++ b/coordination/control/source.go
@@ -55,7 +55,7 @@
 	next := p.ticketReads.Next(now)
 	after := p.Version().Evaluated
 	p.cursor.set(after)
-	return TicketsRead{At: next.At, After: after, Watch: next.Watch}
+	return TicketsRead{At: next.At, After: after, Watch: next.Watch, Reason: next.Reason}
 }
 
 // Staleness returns the time since the source last confirmed the configuration
--- a/coordination/membership/hostlist.go
+++ b/coordination/membership/hostlist.go
@@ -19,6 +19,11 @@
 	RemoveRegistered []state.BackendServerName
 }
 
+// Size returns the number of changed hosts and backend servers.
+func (c Changes) Size() int {
+	return len(c.Set) + len(c.Remove) + len(c.SetRegistered) + len(c.RemoveRegistered)
+}
+
 // Diff returns the changes from old to next.
 func Diff(old, next state.HostList) Changes {
 	changes := Changes{Base: old.Version, Version: next.Version, Digest: next.Digest()}
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -36,8 +36,9 @@
 	// generation grows with each change of a phase or of the host list.
 	generation atomic.Uint64
 
-	listMu sync.Mutex
-	list   state.HostList
+	listMu     sync.Mutex
+	list       state.HostList
+	listDigest state.Digest
 
 	selfMu sync.Mutex
 	self   HostUpdate
@@ -65,10 +66,33 @@
 	return t.list
 }
 
+// ListVersion returns the version and the digest of the latest host list.
+func (t *Table) ListVersion() (uint64, state.Digest) {
+	t.listMu.Lock()
+	defer t.listMu.Unlock()
+	return t.list.Version, t.listDigest
+}
+
+// ConfirmList raises the version of the host list if a later version has the same
+// digest. It returns false if the digest differs or there is no list yet.
+func (t *Table) ConfirmList(version uint64, digest state.Digest) bool {
+	t.listMu.Lock()
+	defer t.listMu.Unlock()
+	if t.list.Version == 0 || digest != t.listDigest {
+		return false
+	}
+	t.list.Version = max(t.list.Version, version)
+	return true
+}
+
 // ApplyList replaces the host list and returns the changes from the previous
-// one. It returns false if the list is not newer.
+// one. It returns false if the list is not newer or has the same content.
 func (t *Table) ApplyList(now time.Time, list state.HostList) (Changes, bool) {
-	old, newer := t.replaceList(list)
+	digest := list.Digest()
+	if t.ConfirmList(list.Version, digest) {
+		return Changes{}, false
+	}
+	old, newer := t.replaceList(list, digest)
 	if !newer {
 		return Changes{}, false
 	}
@@ -88,14 +112,14 @@
 	return changes, true
 }
 
-func (t *Table) replaceList(list state.HostList) (state.HostList, bool) {
+func (t *Table) replaceList(list state.HostList, digest state.Digest) (state.HostList, bool) {
 	t.listMu.Lock()
 	defer t.listMu.Unlock()
 	old := t.list
 	if list.Version <= old.Version {
 		return old, false
 	}
-	t.list = list
+	t.list, t.listDigest = list, digest
 	return old, true
 }
 
--- a/coordination/sourcereading/scheduler.go
+++ b/coordination/sourcereading/scheduler.go
@@ -25,14 +25,28 @@
 	// FallbackAfter is the age of the state after which a node that is not a
 	// reader reads the source itself.
 	FallbackAfter time.Duration
+	// FallbackSpread is the maximum random delay of such a read. The first node
+	// that reads confirms the state of its peers, which then need not read. 0
+	// means a time by which all nodes together keep to FallbackRate.
+	FallbackSpread time.Duration
+	// StartDelay is added to the delay of the first read, to let peers deliver the
+	// state first.
+	StartDelay time.Duration
 	// WatchPause is the pause after a watch that returned no change.
 	WatchPause time.Duration
 	// BusyPause is the pause after a watch that returned a change.
 	BusyPause time.Duration
 	// Retry sets the backoff after failed reads.
 	Retry backoff.Policy
+	// FallbackRetry sets the backoff after failed reads of a node that is not a
+	// reader and has peers. The zero value means Retry.
+	FallbackRetry backoff.Policy
 }
 
+// isolatedAge is the age up to which the state of a node without peers is recent
+// enough.
+const isolatedAge = 2 * time.Second
+
 // Answer classifies the result of a read.
 type Answer uint8
 
@@ -47,11 +61,40 @@
 	AnswerStale
 )
 
+// Reason is the reason for a read.
+type Reason string
+
+// The reasons for a read.
+const (
+	// ReasonStart means that the state has never been confirmed.
+	ReasonStart Reason = "start"
+	// ReasonWatch means that this node is a reader.
+	ReasonWatch Reason = "watch"
+	// ReasonFallback means that no peer has confirmed the state recently.
+	ReasonFallback Reason = "fallback"
+	// ReasonRetry means that the read before has failed.
+	ReasonRetry Reason = "retry"
+	// ReasonRecheck means that expired registrations have to be read again.
+	ReasonRecheck Reason = "recheck"
+)
+
+// Query is a read of the host list.
+type Query struct {
+	// After is the version of the list that the node has.
+	After uint64
+	// Wait is the maximum time for which the source may hold the read until there
+	// is a newer list.
+	Wait time.Duration
+	// MayBeStale allows an answer that is some seconds old.
+	MayBeStale bool
+}
+
 // Read is the time and kind of the next read.
 type Read struct {
 	At time.Time
 	// Watch asks the source to hold the read until there is a change.
-	Watch bool
+	Watch  bool
+	Reason Reason
 }
 
 // Scheduler decides when to read one kind of value. It is safe for concurrent
@@ -62,6 +105,8 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	reader bool
+	// isolated is true while no peer responds.
+	isolated bool
 	// hosts is the number of hosts in the host list, 0 while there is no list.
 	hosts    int
 	failures int
@@ -82,14 +127,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.scheduleFirst(now)
-	return Read{At: s.nextAt, Watch: s.reader}
+	return Read{At: s.nextAt, Watch: s.reader, Reason: s.reason()}
+}
+
+func (s *Scheduler) reason() Reason {
+	switch {
+	case s.failures > 0:
+		return ReasonRetry
+	case s.reader:
+		return ReasonWatch
+	case s.confirmedAt.IsZero():
+		return ReasonStart
+	default:
+		return ReasonFallback
+	}
 }
 
 // scheduleFirst schedules the first read at a random time within the mean
 // interval.
 func (s *Scheduler) scheduleFirst(now time.Time) {
 	if s.nextAt.IsZero() {
-		s.nextAt = now.Add(s.randomUpTo(s.meanInterval()))
+		s.nextAt = now.Add(s.config.StartDelay + s.randomUpTo(s.meanInterval()))
 	}
 }
 
@@ -130,7 +188,7 @@
 	s.confirmedAt = now
 	switch {
 	case !s.reader:
-		s.nextAt = now.Add(s.config.FallbackAfter + s.interval())
+		s.nextAt = now.Add(s.config.FallbackAfter + s.spread())
 	case answer == AnswerNewer:
 		s.nextAt = now.Add(s.config.BusyPause)
 	default:
@@ -147,26 +205,45 @@
 
 func (s *Scheduler) failed(now time.Time) {
 	s.failures++
-	delay := s.config.Retry.Delay(s.failures, s.random)
+	delay := s.retryPolicy().Delay(s.failures, s.random)
 	if !s.reader {
 		delay = max(delay, s.interval())
 	}
 	s.nextAt = now.Add(delay)
 }
 
+func (s *Scheduler) retryPolicy() backoff.Policy {
+	if s.reader || s.isolated || s.config.FallbackRetry == (backoff.Policy{}) {
+		return s.config.Retry
+	}
+	return s.config.FallbackRetry
+}
+
 // RecordPeerConfirmation records the time at which the source confirmed the state of a
 // peer. The peer must have the same state as this node.
 func (s *Scheduler) RecordPeerConfirmation(now, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.scheduleFirst(now)
+	s.isolated = false
 	if !at.After(s.confirmedAt) {
 		return
 	}
 	s.confirmedAt = at
 	fallbackAt := at.Add(s.config.FallbackAfter)
 	if !s.reader && s.nextAt.Before(fallbackAt) && now.Before(fallbackAt) {
-		s.nextAt = fallbackAt.Add(s.interval())
+		s.nextAt = fallbackAt.Add(s.spread())
+	}
+}
+
+// RequestRead schedules a read now, unless this node is a reader or its latest read
+// has failed.
+func (s *Scheduler) RequestRead(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduleFirst(now)
+	if !s.reader && s.failures == 0 {
+		s.nextAt = earlier(s.nextAt, now)
 	}
 }
 
@@ -176,9 +253,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.scheduleFirst(now)
-	if !s.reader && s.failures == 0 {
-		s.nextAt = earlier(s.nextAt, now.Add(s.interval()))
+	s.isolated = true
+	if s.reader || s.failures > 0 || s.confirmedAt.IsZero() {
+		return
 	}
+	staleAt := s.confirmedAt.Add(min(s.config.FallbackAfter, isolatedAge))
+	s.nextAt = earlier(s.nextAt, later(now, staleAt).Add(s.interval()))
 }
 
 // RecordResume records that the process was paused. A reader reads again within
@@ -216,10 +296,25 @@
 	return mean/2 + s.randomUpTo(mean)
 }
 
+// spread returns the random delay of a read of a node whose state is too old.
+func (s *Scheduler) spread() time.Duration {
+	if s.config.FallbackSpread == 0 {
+		return s.interval()
+	}
+	return s.randomUpTo(s.config.FallbackSpread)
+}
+
 func (s *Scheduler) randomUpTo(limit time.Duration) time.Duration {
 	return time.Duration(s.random.Int64N(int64(limit) + 1))
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/protocol/peerwire/source_test.go
+++ b/protocol/peerwire/source_test.go
@@ -14,6 +14,9 @@
 	readHosts
 )
 
+// readTimeout is the time after which a read without an answer fails.
+const readTimeout = 1500 * time.Millisecond
+
 // source is a fake of the platform's store. It holds the tickets and the host
 // list, which nodes can read and watch.
 type source struct {
@@ -30,6 +33,12 @@
 	// ignoresPosition makes the source return all its tickets, regardless of the
 	// requested position.
 	ignoresPosition bool
+	// heartbeats makes each watch of the host list end at once, as with many backend
+	// servers whose heartbeats change their registrations.
+	heartbeats bool
+	// answers reports whether the source answers a host at all. A read that it does
+	// not answer fails after readTimeout.
+	answers func(host state.Host) bool
 	// oldestRetained is the number of the oldest ticket that is retained.
 	oldestRetained int
 	watches        []*watch
@@ -44,7 +53,12 @@
 }
 
 func newSource(sim *simulation) *source {
-	return &source{sim: sim, reachable: func(state.Host) bool { return true }, reads: make(map[int64]int)}
+	return &source{
+		sim:       sim,
+		reachable: func(state.Host) bool { return true },
+		answers:   func(state.Host) bool { return true },
+		reads:     make(map[int64]int),
+	}
 }
 
 // peak returns the largest number of reads per second since the given time.
@@ -126,7 +140,7 @@
 		func() control.Output { return n.plane.HandleTicketsReadFailure(sim.now) })
 	hosts := n.plane.NextHostListRead(sim.now)
 	sim.readOne(n, readHosts, hosts.At, hosts.Watch,
-		func() bool { return sim.source.list.Version > hosts.After },
+		func() bool { return sim.source.heartbeats || sim.source.list.Version > hosts.After },
 		func() sourceAnswer {
 			return sourceAnswer{apply: func() control.Output { return n.plane.HandleHostList(sim.now, sim.source.list) }}
 		},
@@ -168,6 +182,10 @@
 			})
 		})
 	}
+	if !s.answers(n.host) {
+		sim.after(readTimeout, func() { finish(sourceAnswer{apply: failed}) })
+		return
+	}
 	if !s.reachable(n.host) {
 		finish(sourceAnswer{apply: failed})
 		return
--- a/providers.go
+++ b/providers.go
@@ -95,6 +95,11 @@
 		ReadersPerZone:         config.Adapter.ReadersPerZone,
 		TicketWatchPause:       config.Adapter.TicketWatchPause,
 		HostListWatchPause:     config.Adapter.HostListWatchPause,
+
+		HostListFallbackAfter:    config.Adapter.HostListFallbackAfter,
+		HostListFallbackSpread:   config.Adapter.HostListFallbackSpread,
+		FallbackRetryInterval:    config.Adapter.FallbackRetryInterval,
+		MaxFallbackRetryInterval: config.Adapter.MaxFallbackRetryInterval,
 	}
 	return control.NewPlane(settings, snapshots, newRandom(config, planeStream))
 }
--- a/state/host.go
+++ b/state/host.go
@@ -58,7 +58,8 @@
 }
 
 // Digest returns a hash of the hosts and backend servers that does not depend
-// on their order. It does not cover Version.
+// on their order. It does not cover Version, nor BackendServer.WarmAt, which each
+// reader of the platform computes with its own clock.
 func (l HostList) Digest() Digest {
 	var sum uint64
 	for _, host := range l.Hosts {
@@ -71,6 +72,7 @@
 		sum += encoder.hash()
 	}
 	for _, server := range l.Registered {
+		server.WarmAt = 0
 		sum += hashBackendServer(server)
 	}
 	return Digest(sum)
--- a/transport/controlloop/loop.go
+++ b/transport/controlloop/loop.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabiport/wasabiport/coordination/control"
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
+	"github.com/wasabiport/wasabiport/coordination/sourcereading"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -23,9 +24,9 @@
 	// Tickets returns the tickets after a number. If there are none, the read
 	// may block for up to wait.
 	Tickets(ctx context.Context, after state.TicketNumber, wait time.Duration) ([]state.Ticket, error)
-	// Hosts returns the host list if its version is newer than after. If it
-	// is not, the read may block for up to wait.
-	Hosts(ctx context.Context, after uint64, wait time.Duration) (state.HostList, error)
+	// Hosts returns the host list if its version is newer than that of the
+	// query. If it is not, the read may block for up to the wait of the query.
+	Hosts(ctx context.Context, query sourcereading.Query) (state.HostList, error)
 }
 
 // Peers sends to other nodes and maintains the sessions to them.
--- a/transport/controlloop/loop_test.go
+++ b/transport/controlloop/loop_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/sourcereading"
 	"github.com/wasabiport/wasabiport/internal/virtualtime"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
@@ -35,7 +36,7 @@
 	return nil, s.err
 }
 
-func (s *failingSource) Hosts(context.Context, uint64, time.Duration) (state.HostList, error) {
+func (s *failingSource) Hosts(context.Context, sourcereading.Query) (state.HostList, error) {
 	return state.HostList{}, s.err
 }
 
@@ -119,8 +120,8 @@
 	return nil, ctx.Err()
 }
 
-func (oneTicketSource) Hosts(ctx context.Context, after uint64, _ time.Duration) (state.HostList, error) {
-	if after == 0 {
+func (oneTicketSource) Hosts(ctx context.Context, query sourcereading.Query) (state.HostList, error) {
+	if query.After == 0 {
 		return state.HostList{Version: 1, Hosts: []state.Host{{Name: "self", Zone: "north"}}}, nil
 	}
 	<-ctx.Done()
@@ -153,7 +154,7 @@
 	return nil, nil
 }
 
-func (s *hangingSource) Hosts(ctx context.Context, _ uint64, _ time.Duration) (state.HostList, error) {
+func (s *hangingSource) Hosts(ctx context.Context, _ sourcereading.Query) (state.HostList, error) {
 	s.mu.Lock()
 	s.hostReads++
 	first := s.hostReads == 1
--- a/transport/controlloop/reading.go
+++ b/transport/controlloop/reading.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wasabiport/wasabiport/coordination/sourcereading"
 	"github.com/wasabiport/wasabiport/transport/events"
 )
 
@@ -56,7 +57,11 @@
 		case due:
 		}
 		readCtx := l.hostReads.beginRead(ctx)
-		list, err := l.source.Hosts(readCtx, read.After, maxWait(read.Watch, read.WatchUntil))
+		list, err := l.source.Hosts(readCtx, sourcereading.Query{
+			After:      read.After,
+			Wait:       maxWait(read.Watch, read.WatchUntil),
+			MayBeStale: read.MayBeStale,
+		})
 		if ctx.Err() != nil {
 			return
 		}
--- a/transport/source/client.go
+++ b/transport/source/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/wasabiport/wasabiport/coordination/sourcereading"
 	"github.com/wasabiport/wasabiport/protocol/ticketfile"
 	"github.com/wasabiport/wasabiport/state"
 )
@@ -60,9 +61,9 @@
 	return tickets, nil
 }
 
-// Hosts returns the host list if its version is newer than after. If it is not,
-// the service blocks the read for up to wait.
-func (c *Client) Hosts(ctx context.Context, after uint64, wait time.Duration) (state.HostList, error) {
+// Hosts returns the host list if its version is newer than that of the query. If it
+// is not, the service blocks the read for up to the wait of the query.
+func (c *Client) Hosts(ctx context.Context, hosts sourcereading.Query) (state.HostList, error) {
 	var answer struct {
 		Version uint64 `json:"version"`
 		Hosts   []struct {
@@ -73,8 +74,8 @@
 			Phase       string                 `json:"phase"`
 		} `json:"hosts"`
 	}
-	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
-	if err := c.read(ctx, "/v1/hosts", query, wait, &answer); err != nil {
+	query := url.Values{"after": {strconv.FormatUint(hosts.After, 10)}}
+	if err := c.read(ctx, "/v1/hosts", query, hosts.Wait, &answer); err != nil {
 		return state.HostList{}, err
 	}
 	list := state.HostList{Version: answer.Version}
--- a/transport/source/client_test.go
+++ b/transport/source/client_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wasabiport/wasabiport/coordination/sourcereading"
 	"github.com/wasabiport/wasabiport/internal/virtualtime"
 	"github.com/wasabiport/wasabiport/transport/network"
 	"github.com/wasabiport/wasabiport/transport/source"
@@ -79,7 +80,7 @@
 		http.Error(w, "", http.StatusTooManyRequests)
 	}
 	serve(t, answer, func(t *testing.T, client *source.Client) {
-		_, err := client.Hosts(t.Context(), 0, 0)
+		_, err := client.Hosts(t.Context(), sourcereading.Query{})
 		var throttled *source.ThrottledError
 		require.ErrorAs(t, err, &throttled)
 		require.Equal(t, 7*time.Second, throttled.RetryAfter())
