--- a/coordination/control/expiry.go
+++ b/coordination/control/expiry.go
@@ -131,14 +131,24 @@
 	e.recheckAt = now
 }
 
-// isProvisional reports whether the list in use may differ from the source's. A
-// provisional list is not sent to peers.
+// isProvisional reports whether the list in use may differ from the source's, or
+// from what the source will list soon. A provisional list is not sent to peers.
 func (e *expiredServers) isProvisional(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.recheckAt.IsZero() || e.afterStart && now.Before(e.graceEnd)
+	return e.isRetaining() || e.afterStart && now.Before(e.graceEnd)
 }
 
+// retains reports whether the list in use has backend servers that the source does
+// not list.
+func (e *expiredServers) retains() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isRetaining()
+}
+
+func (e *expiredServers) isRetaining() bool { return !e.recheckAt.IsZero() }
+
 // recheckTime returns when the source must be read again. Due is false if there
 // is no need.
 func (e *expiredServers) recheckTime() (at time.Time, due bool) {
--- a/coordination/control/message.go
+++ b/coordination/control/message.go
@@ -32,8 +32,8 @@
 	Heartbeat   uint64
 	Phase       state.HostPhase
 	// HostListVersion is the version of the sender's host list, or 0 if it has
-	// none to offer. HostListDigest is the digest of the list, or 0 from a node of
-	// an earlier release.
+	// none to offer. HostListDigest is the digest of the list, also of one that is
+	// not offered, or 0 from a node of an earlier release.
 	HostListVersion uint64
 	HostListDigest  state.Digest
 	// TicketsAge and HostListAge are the times since the source confirmed the
--- a/coordination/control/offer.go
+++ b/coordination/control/offer.go
@@ -24,13 +24,18 @@
 	}
 }
 
-// offeredHostList returns the version and the digest of the host list that peers
-// may request, or 0 while the list is provisional.
+// offeredHostList returns the version of the host list that peers may request, or 0
+// while the list is provisional, and the digest of what the source has answered. A
+// peer with the same list then need not ask the source.
 func (p *Plane) offeredHostList(now time.Time) (uint64, state.Digest) {
-	if p.expiredServers.isProvisional(now) {
+	if p.expiredServers.retains() {
 		return 0, 0
 	}
-	return p.members.ListVersion()
+	version, digest := p.members.ListVersion()
+	if p.expiredServers.isProvisional(now) {
+		return 0, digest
+	}
+	return version, digest
 }
 
 func ageOf(now, confirmedAt time.Time) time.Duration {
@@ -80,27 +85,41 @@
 // compareHostLists requests the host list of a peer if it is newer and differs from
 // the local one. A peer with the same list confirms it as of its last read.
 func (p *Plane) compareHostLists(now time.Time, output *Output, from state.HostName, offer Offer) {
-	if offer.HostListVersion == 0 {
-		// The peer has no host list, or only a provisional one.
+	if p.isSameHostList(offer) {
+		p.recordHostListConfirmation(now, offer.HostListAge)
 		return
 	}
 	local, _ := p.members.ListVersion()
-	same := offer.HostListVersion == local
-	if offer.HostListDigest != 0 {
-		same = p.members.ConfirmList(offer.HostListVersion, offer.HostListDigest)
-	}
 	switch {
-	case same && offer.HostListAge != NeverConfirmed:
-		confirmedAt := now.Add(-offer.HostListAge)
-		p.hostListReads.RecordPeerConfirmation(now, confirmedAt)
-		p.expiredServers.recordPeerConfirmation(confirmedAt)
-	case same || offer.HostListVersion < local:
+	case offer.HostListVersion <= local:
+		// The peer has an older list, or only a provisional one.
 	case p.expectsFromSource(p.hostListReads) && !p.pendingRequests.hostListLagPersists(now, local):
 	case p.pendingRequests.mayRequestHostList(now):
 		output.send(from, HostListRequest{Have: local})
 	}
 }
 
+// isSameHostList reports whether a peer has the same host list as this node. Nodes of
+// earlier releases offer no digest, and have the same list if it has the same version.
+func (p *Plane) isSameHostList(offer Offer) bool {
+	if offer.HostListDigest != 0 {
+		return p.members.ConfirmList(offer.HostListVersion, offer.HostListDigest)
+	}
+	local, _ := p.members.ListVersion()
+	return local > 0 && offer.HostListVersion == local
+}
+
+// recordHostListConfirmation records that the source has confirmed the local host
+// list to a peer.
+func (p *Plane) recordHostListConfirmation(now time.Time, age time.Duration) {
+	if age == NeverConfirmed {
+		return
+	}
+	confirmedAt := now.Add(-age)
+	p.hostListReads.RecordPeerConfirmation(now, confirmedAt)
+	p.expiredServers.recordPeerConfirmation(confirmedAt)
+}
+
 // expectsFromSource reports whether the source itself is expected to deliver a
 // change that a peer already has.
 func (p *Plane) expectsFromSource(scheduler *sourcereading.Scheduler) bool {
