Count the reads of the platform by what was read and why

wasabiport_source_reads_total tells a node that watches from one that has lost its readers, has just started or retries.

--- a/transport/controlloop/loop.go
+++ b/transport/controlloop/loop.go
@@ -29,6 +29,13 @@
 	Hosts(ctx context.Context, query sourcereading.Query) (state.HostList, error)
 }
 
+// ReadObserver is informed of the reads of the source. Its methods are called
+// concurrently.
+type ReadObserver interface {
+	TicketsRead(reason sourcereading.Reason)
+	HostListRead(reason sourcereading.Reason)
+}
+
 // Peers sends to other nodes and maintains the sessions to them.
 type Peers interface {
 	// Send queues a message without blocking.
@@ -42,6 +49,7 @@
 type Loop struct {
 	plane  *control.Plane
 	source Source
+	reads  ReadObserver
 	logger logr.Logger
 	peers  Peers
 	// Each goroutine waits for a time that the plane may change. A value on its
@@ -67,10 +75,11 @@
 }
 
 // New returns a loop that is not started. Events are written to logger.
-func New(plane *control.Plane, source Source, logger logr.Logger) *Loop {
+func New(plane *control.Plane, source Source, reads ReadObserver, logger logr.Logger) *Loop {
 	return &Loop{
 		plane:        plane,
 		source:       source,
+		reads:        reads,
 		logger:       logger,
 		tickWake:     make(chan struct{}, 1),
 		ticketsWake:  make(chan struct{}, 1),
--- a/transport/controlloop/loop_test.go
+++ b/transport/controlloop/loop_test.go
@@ -62,7 +62,7 @@
 	var log bytes.Buffer
 	logger, err := events.NewLogger(&log, events.FormatText, events.LevelInfo)
 	require.NoError(t, err)
-	loop, peers := controlloop.New(plane, source, logger), &recordingPeers{}
+	loop, peers := controlloop.New(plane, source, discardReads{}, logger), &recordingPeers{}
 	loop.Start(peers)
 	return loop, peers, &log
 }
@@ -109,6 +109,12 @@
 	})
 }
 
+// discardReads is a ReadObserver that does nothing.
+type discardReads struct{}
+
+func (discardReads) TicketsRead(sourcereading.Reason)  {}
+func (discardReads) HostListRead(sourcereading.Reason) {}
+
 // oneTicketSource returns one ticket and a host list with one host.
 type oneTicketSource struct{}
 
--- a/transport/controlloop/reading.go
+++ b/transport/controlloop/reading.go
@@ -29,6 +29,7 @@
 		case due:
 		}
 		readCtx := l.ticketReads.beginRead(ctx)
+		l.reads.TicketsRead(read.Reason)
 		tickets, err := l.source.Tickets(readCtx, read.After, maxWait(read.Watch, time.Time{}))
 		if ctx.Err() != nil {
 			return
@@ -57,6 +58,7 @@
 		case due:
 		}
 		readCtx := l.hostReads.beginRead(ctx)
+		l.reads.HostListRead(read.Reason)
 		list, err := l.source.Hosts(readCtx, sourcereading.Query{
 			After:      read.After,
 			Wait:       maxWait(read.Watch, read.WatchUntil),
--- a/wire.go
+++ b/wire.go
@@ -46,6 +46,8 @@
 	newEntry,
 	newCallerServer,
 	newNode,
+	metrics.NewSourceReads,
+	wire.Bind(new(controlloop.ReadObserver), new(*metrics.SourceReads)),
 	controlloop.New,
 	wire.Bind(new(entry.Hosts), new(*control.Plane)),
 	wire.Bind(new(entry.Readiness), new(*control.Plane)),
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -28,12 +28,16 @@
 	policies := newGuardPolicies(config, wasabiportIncarnation)
 	plane := newPlane(config, wasabiportIncarnation, snapshotStore, policies)
 	source := newSource(config)
-	logger := newLogger(config)
-	loop := controlloop.New(plane, source, logger)
 	registry, err := newRegistry(config)
 	if err != nil {
 		return nil, err
 	}
+	sourceReads, err := metrics.NewSourceReads(registry)
+	if err != nil {
+		return nil, err
+	}
+	logger := newLogger(config)
+	loop := controlloop.New(plane, source, sourceReads, logger)
 	lineLimiters, err := metrics.NewLineLimiters(registry)
 	if err != nil {
 		return nil, err
@@ -89,5 +93,5 @@
 	newEntryPolicies,
 	newEntry,
 	newCallerServer,
-	newNode, controlloop.New, wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(guard.PeerNotifier), new(*controlloop.Loop)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(entry.Observer), new(*calllog.Observer)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
+	newNode, metrics.NewSourceReads, wire.Bind(new(controlloop.ReadObserver), new(*metrics.SourceReads)), controlloop.New, wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(guard.PeerNotifier), new(*controlloop.Loop)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(entry.Observer), new(*calllog.Observer)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
 )
