Write the header and the data of a frame at once

Cause: the multiplexer writes each frame with data in two calls, so each message and each part of a call were two system calls, two packets and two wake-ups of the peer.

--- a/transport/peering/mux.go
+++ b/transport/peering/mux.go
@@ -70,8 +70,12 @@
 type muxConn struct {
 	net.Conn
 	streams *streamSet
+	frames  frameWriter
 }
 
+// Write writes what the multiplexer sends. It is called by one goroutine.
+func (c *muxConn) Write(p []byte) (int, error) { return c.frames.write(c.Conn, p) }
+
 // Close interrupts the streams and closes the connection.
 func (c *muxConn) Close() error {
 	c.streams.interrupt()
