--- a/config.go
+++ b/config.go
@@ -112,9 +112,6 @@
 	// FullStateSource is true if Source holds only the newest full configuration,
 	// as baseline tickets whose numbers may have gaps. Default false.
 	FullStateSource bool
-	// ReadersPerZone is the number of hosts of an availability zone that watch
-	// the platform, besides the roots of its trees. Default 0.
-	ReadersPerZone int
 	// TicketWatchPause and HostListWatchPause are the times between a watch of
 	// the platform that returned no change and the next one. A longer pause saves
 	// reads but delays changes. Default 1 s each.
--- a/coordination/control/config.go
+++ b/coordination/control/config.go
@@ -50,11 +50,6 @@
 	// answer, and peers send each other state only if the source does not
 	// return it to one of them. Default false.
 	FullStateSource bool
-	// ReadersPerZone is the number of hosts in an availability zone that watch
-	// the source, in addition to the roots of its trees. With more readers,
-	// more nodes receive changes directly from the source, at the cost of more
-	// reads. Default 0.
-	ReadersPerZone int
 	// TicketWatchPause and HostListWatchPause are the pauses after a watch that
 	// returned no change. Default 1 s each.
 	TicketWatchPause   time.Duration
--- a/coordination/control/hosts.go
+++ b/coordination/control/hosts.go
@@ -166,8 +166,7 @@
 	p.links.SetTopology(now, topology)
 	leaving := p.members.Self().Phase != state.HostLive
 	list := p.members.List()
-	reader := topology.Reader || dissemination.RankInZone(p.config.Self, hosts) < p.config.ReadersPerZone
-	reader = reader && !leaving && listsHost(list, p.config.Self.Name)
+	reader := topology.Reader && !leaving && listsHost(list, p.config.Self.Name)
 	p.ticketReads.SetRole(now, reader, len(list.Hosts))
 	p.hostListReads.SetRole(now, reader, len(list.Hosts))
 	p.schedule.recordRebuild(now, generation)
--- a/coordination/dissemination/topology.go
+++ b/coordination/dissemination/topology.go
@@ -60,19 +60,6 @@
 	return topology
 }
 
-// RankInZone returns the zero-based position of self in the order of hosts in
-// its availability zone. Hosts need not contain self.
-func RankInZone(self state.Host, hosts []state.Host) int {
-	selfRank := rank(0, self.Name)
-	position := 0
-	for _, name := range namesByZone(self, hosts)[self.Zone] {
-		if name != self.Name && rank(0, name) < selfRank {
-			position++
-		}
-	}
-	return position
-}
-
 func namesByZone(self state.Host, hosts []state.Host) map[state.AvailabilityZone][]state.HostName {
 	zones := map[state.AvailabilityZone][]state.HostName{self.Zone: {self.Name}}
 	for _, host := range hosts {
--- a/providers.go
+++ b/providers.go
@@ -92,7 +92,6 @@
 		FullStateSource:     config.Adapter.FullStateSource,
 
 		MaxSourceRetryInterval: config.Adapter.MaxSourceRetryInterval,
-		ReadersPerZone:         config.Adapter.ReadersPerZone,
 		TicketWatchPause:       config.Adapter.TicketWatchPause,
 		HostListWatchPause:     config.Adapter.HostListWatchPause,
 
