--- a/coordination/control/hosts.go
+++ b/coordination/control/hosts.go
@@ -40,8 +40,8 @@
 	known := p.members.List()
 	answer := classifyHostList(list.Version, known.Version)
 	if p.readiness.isReady() && answer != sourcereading.AnswerStale {
-		// This node reads because it has lost the readers that feed it, so it may
-		// have missed a configuration too.
+		// A node that is not a reader itself reads the host list because it has lost
+		// the readers that feed it, so it may have missed a configuration too.
 		p.ticketReads.RequestRead(now)
 	}
 	effective, uncertain := p.expiredServers.reconcile(now, known, list)
