--- a/protocol/peerwire/sourcereads_test.go
+++ b/protocol/peerwire/sourcereads_test.go
@@ -185,9 +185,11 @@
 			}
 		},
 		"refused by the source": func(sim *simulation) {
+			refused := make(map[state.HostName]bool)
 			for _, reader := range sim.readersOf(lost) {
-				sim.source.reachable = func(host state.Host) bool { return host.Name != reader.host.Name }
+				refused[reader.host.Name] = true
 			}
+			sim.source.reachable = func(host state.Host) bool { return !refused[host.Name] }
 		},
 		"cut off with the zone": func(sim *simulation) { sim.partition(isolateZone(lost)) },
 	}
@@ -217,7 +219,11 @@
 			sim.source.answers = func(state.Host) bool { return !failing }
 		},
 		"refuses a third": func(sim *simulation, failing bool) {
-			sim.source.reachable = func(host state.Host) bool { return !failing || len(host.PeerAddress)%3 != 0 }
+			refused := make(map[state.HostName]bool)
+			for i, n := range sim.nodes {
+				refused[n.host.Name] = failing && i%3 == 0
+			}
+			sim.source.reachable = func(host state.Host) bool { return !refused[host.Name] }
 		},
 	}
 	// A node reads at most once before its first failure and then backs off, and a
