Log and count what backend servers say of themselves in their answers

A response now has a report with the limit and whether the backend server leaves; the guard logs changes of it (events 503, 504) with the calls that got a slot since the change before, and counts the calls (wasabiport_backend_server_started_calls_total, ..._rate_limit). Nothing is decided by it.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -35,6 +35,8 @@
 	runningExclusive *Reservation
 	exclusiveEndedAt time.Time
 
+	reported       reported
+	startedTotal   uint64
 	running        int
 	guaranteed     [state.ClassCount]int
 	spare          [state.ClassCount]int
@@ -191,6 +193,9 @@
 func (g *Gate) draining() bool { return g.drainRequested || g.server.Draining }
 
 func (g *Gate) configure(server state.BackendServer, service state.Service) {
+	if server.Incarnation != g.server.Incarnation {
+		g.reported = reported{}
+	}
 	g.server = server
 	g.service = service
 	g.floors.share = service.Floors
--- a/coordination/admission/grant.go
+++ b/coordination/admission/grant.go
@@ -25,6 +25,8 @@
 // start assigns a slot to a reservation that is in no queue.
 func (g *Gate) start(now time.Time, reservation *Reservation, guaranteed bool) {
 	g.running++
+	g.startedTotal++
+	g.reported.started++
 	if guaranteed {
 		g.guaranteed[reservation.class]++
 	} else {
--- a/coordination/admission/occupancy.go
+++ b/coordination/admission/occupancy.go
@@ -1,6 +1,9 @@
 package admission
 
-import "github.com/wasabiport/wasabiport/state"
+import (
+	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/state"
+)
 
 // Occupancy is the number of running and waiting calls of a gate by priority
 // class.
@@ -9,6 +12,10 @@
 	Running, Waiting [state.ClassCount]int
 	// Slots is the number of slots that may be used.
 	Slots int
+	// Started is the number of calls that have got a slot so far.
+	Started uint64
+	// RateLimit is the limit that the backend server has reported.
+	RateLimit call.RateLimit
 }
 
 // Occupancy returns the numbers of running and waiting calls. Waiting exclusive
@@ -17,6 +24,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	occupancy := Occupancy{BackendServer: g.server.Name, Slots: g.usable(g.floors.updatedAt)}
+	occupancy.Started, occupancy.RateLimit = g.startedTotal, g.reported.report.RateLimit
 	for _, class := range state.Classes() {
 		occupancy.Running[class] = g.guaranteed[class] + g.spare[class]
 		occupancy.Waiting[class] = g.waitingOf(class)
--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -115,4 +115,21 @@
 	Replaced bool
 	// DiscardConnection is set when the connection must not be reused.
 	DiscardConnection bool
+	// Report is nil when the response says nothing of the backend server itself.
+	Report *ServerReport
+}
+
+// RateLimit is the number of calls per second that a backend server takes from all
+// nodes together. The zero value sets no limit.
+type RateLimit struct {
+	Limited   bool
+	PerSecond float64
+}
+
+// ServerReport is what a backend server says of itself in a response, besides its
+// response to the call. It holds until the next response.
+type ServerReport struct {
+	RateLimit RateLimit
+	// Leaving is set when the backend server is about to exit.
+	Leaving bool
 }
--- a/transport/events/catalogue.go
+++ b/transport/events/catalogue.go
@@ -35,6 +35,8 @@
 		HandshakeFailed{},
 		BackendServerCrashed{},
 		RequestQuarantined{},
+		BackendServerRateLimited{},
+		BackendServerLeaving{},
 		CallEnded{},
 		GuardRefused{},
 		KeysReloaded{},
--- a/transport/events/guard.go
+++ b/transport/events/guard.go
@@ -1,6 +1,10 @@
 package events
 
-import "github.com/wasabiport/wasabiport/state"
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
 
 // BackendServerCrashed is logged when a backend server is assumed to have
 // crashed while it ran calls.
@@ -24,3 +28,34 @@
 func (RequestQuarantined) Kind() Kind {
 	return Kind{502, LevelError, "request-quarantined", "Requests with this fingerprint have crashed backend servers and are refused from now on."}
 }
+
+// BackendServerRateLimited is logged when a backend server sets, changes or ends the
+// number of calls per second that it takes from all nodes together.
+type BackendServerRateLimited struct {
+	BackendServer state.BackendServerName `event:"backend_server"`
+	Limited       bool                    `event:"limited"`
+	// PerSecond is the limit in calls per second, 0 when it has ended, and Before
+	// the previous one, 0 when there was none.
+	PerSecond float64 `event:"per_second"`
+	Before    float64 `event:"before"`
+	// Started is the number of calls that the backend server got in Period, the time
+	// since the last change.
+	Started int           `event:"started"`
+	Period  time.Duration `event:"period"`
+}
+
+// Kind returns the description of the event.
+func (BackendServerRateLimited) Kind() Kind {
+	return Kind{503, LevelInfo, "backend-server-rate-limited", "The backend server has set, changed or ended the number of calls per second that it takes from all nodes together. Started is the number of calls that it got in the period since the last change."}
+}
+
+// BackendServerLeaving is logged when a backend server first reports in an answer
+// that it is about to exit.
+type BackendServerLeaving struct {
+	BackendServer state.BackendServerName `event:"backend_server"`
+}
+
+// Kind returns the description of the event.
+func (BackendServerLeaving) Kind() Kind {
+	return Kind{504, LevelInfo, "backend-server-leaving", "The backend server has reported in an answer that it is about to exit."}
+}
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -77,6 +77,7 @@
 		return nil, refusal
 	}
 	assessment := g.mapper.Classify(head, response)
+	g.applyReport(assessment.Report)
 	if assessment.Refusal != nil {
 		delivery.discard(response, assessment.DiscardConnection)
 		cancel(nil)
--- a/transport/metrics/gates.go
+++ b/transport/metrics/gates.go
@@ -21,6 +21,8 @@
 	running *prometheus.Desc
 	waiting *prometheus.Desc
 	slots   *prometheus.Desc
+	started *prometheus.Desc
+	limit   *prometheus.Desc
 }
 
 // RegisterGates registers the metrics of a guard.
@@ -31,6 +33,8 @@
 		gates:   source,
 		running: prometheus.NewDesc("wasabiport_backend_server_running_calls", "Calls that hold a slot of the backend server.", byClass, nil),
 		waiting: prometheus.NewDesc("wasabiport_backend_server_waiting_calls", "Calls that wait for a slot of the backend server.", byClass, nil),
+		started: prometheus.NewDesc("wasabiport_backend_server_started_calls_total", "Calls that got a slot of the backend server.", labels, nil),
+		limit:   prometheus.NewDesc("wasabiport_backend_server_rate_limit", "Calls per second that the backend server takes from all nodes together. Absent while it reports no limit.", labels, nil),
 		slots:   prometheus.NewDesc("wasabiport_backend_server_usable_slots", "Slots of the backend server that may be used at present.", labels, nil),
 	}
 	return errors.Wrap(registry.Register(collector), "register the metrics of backend servers")
@@ -41,6 +45,8 @@
 	descs <- g.running
 	descs <- g.waiting
 	descs <- g.slots
+	descs <- g.started
+	descs <- g.limit
 }
 
 // Collect sends the current occupancies.
@@ -55,5 +61,9 @@
 			gauge(g.waiting, occupancy.Waiting[class], name, class.String())
 		}
 		gauge(g.slots, occupancy.Slots, name)
+		metrics <- prometheus.MustNewConstMetric(g.started, prometheus.CounterValue, float64(occupancy.Started), name)
+		if occupancy.RateLimit.Limited {
+			metrics <- prometheus.MustNewConstMetric(g.limit, prometheus.GaugeValue, occupancy.RateLimit.PerSecond, name)
+		}
 	}
 }
