Keep the calls to a backend server within the rate that it reports

Cause: nobody read the limit. The guard forwarded it like any other header field, and a gate admitted by slots alone, which limit the calls that run and not those that start. Evidence: the counts of event 503, 21 to 23 calls a second under limits of 8 to 10, as many as before. The other two hypotheses are ruled out: no gate had fewer slots, and no node applied a limit.

Change: the gate spaces the calls with a token bucket. It works because the guard is the only node that calls its backend server, so one bucket holds the sum over all nodes. Waiting calls are woken by one timer a gate; those that would wait too long are refused at once.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -20,6 +20,8 @@
 	limit        limit
 	floors       floors
 	serviceTimes [state.ClassCount]serviceTime
+	// serviceTimeOfAll is that of the calls of all classes.
+	serviceTimeOfAll serviceTime
 
 	overloads [state.ClassCount]overload
 
@@ -35,7 +37,10 @@
 	runningExclusive *Reservation
 	exclusiveEndedAt time.Time
 
-	reported       reported
+	reported reported
+	// rate spaces the calls as reported by the backend server or, until it has
+	// reported anything, by entry nodes.
+	rate           rateLimit
 	startedTotal   uint64
 	running        int
 	guaranteed     [state.ClassCount]int
@@ -148,8 +153,8 @@
 }
 
 // Tick refuses the reservations that have passed their latest start and grants
-// slots that a slow start has made usable. Every other method does this as
-// well, so Tick is needed only while there is no other activity.
+// slots that a slow start or the rate limit has made usable. Every other method does
+// this as well, so Tick is needed only while there is no other activity.
 func (g *Gate) Tick(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -157,6 +162,18 @@
 	g.reschedule(now)
 }
 
+// NextGrant returns the time at which the rate limit allows the next waiting call to
+// start, or false if no call waits for it. The caller calls Tick at that time.
+func (g *Gate) NextGrant(now time.Time) (at time.Time, waiting bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wait := g.rate.wait(now, 1)
+	if wait == 0 || len(g.waiting) == 0 {
+		return time.Time{}, false
+	}
+	return now.Add(wait), true
+}
+
 // Load returns the load hint that is sent with replies.
 func (g *Gate) Load() call.LoadHint {
 	g.mu.Lock()
@@ -165,8 +182,11 @@
 		BackendServer: g.server.Name,
 		Running:       g.running,
 		Waiting:       len(g.waiting),
-		Slots:         g.usable(g.floors.updatedAt),
+		Slots:         g.sustainable(g.floors.updatedAt),
 		Draining:      g.draining(),
+		Incarnation:   g.server.Incarnation,
+		RateLimit:     g.rate.limit,
+		Reported:      g.reported.heard,
 	}
 }
 
@@ -190,11 +210,18 @@
 // usable returns the number of slots that may be used at now.
 func (g *Gate) usable(now time.Time) int { return g.limit.slotsAt(now, g.config.SlowStartInitialShare) }
 
+// sustainable returns the number of slots that can be kept in use: the usable ones, or
+// fewer under a rate limit.
+func (g *Gate) sustainable(now time.Time) int {
+	return g.rate.slots(g.usable(now), g.serviceTimeOfAll.mean())
+}
+
 func (g *Gate) draining() bool { return g.drainRequested || g.server.Draining }
 
 func (g *Gate) configure(server state.BackendServer, service state.Service) {
 	if server.Incarnation != g.server.Incarnation {
 		g.reported = reported{}
+		g.rate = rateLimit{}
 	}
 	g.server = server
 	g.service = service
@@ -210,7 +237,7 @@
 // any other change.
 func (g *Gate) updateCredits(now time.Time) {
 	used := usage{
-		limit:      g.usable(now),
+		limit:      g.sustainable(now),
 		guaranteed: g.guaranteed,
 		spare:      g.spare,
 	}
--- a/coordination/admission/grant.go
+++ b/coordination/admission/grant.go
@@ -9,7 +9,7 @@
 
 // grant assigns free slots to waiting reservations.
 func (g *Gate) grant(now time.Time) {
-	for g.runningExclusive == nil && g.running < g.usable(now) {
+	for g.runningExclusive == nil && g.running < g.usable(now) && g.rate.allows(now) {
 		if g.exclusiveIsNext(now) {
 			g.grantExclusive(now)
 			return
@@ -25,6 +25,7 @@
 // start assigns a slot to a reservation that is in no queue.
 func (g *Gate) start(now time.Time, reservation *Reservation, guaranteed bool) {
 	g.running++
+	g.rate.take(now)
 	g.startedTotal++
 	g.reported.started++
 	if guaranteed {
@@ -144,6 +145,7 @@
 		g.limit.recordShed(now, g.config.ShedDecreaseFactor, max(times.mean(), g.config.MinDecreaseInterval))
 	case ResultSuccess:
 		times.observe(now.Sub(reservation.grantedAt))
+		g.serviceTimeOfAll.observe(now.Sub(reservation.grantedAt))
 		if times.isSlow(g.config.SlowTolerance) {
 			g.limit.decrease(now, g.config.SlowDecreaseFactor, max(times.mean(), g.config.MinDecreaseInterval))
 			return
--- a/coordination/admission/occupancy.go
+++ b/coordination/admission/occupancy.go
@@ -24,7 +24,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	occupancy := Occupancy{BackendServer: g.server.Name, Slots: g.usable(g.floors.updatedAt)}
-	occupancy.Started, occupancy.RateLimit = g.startedTotal, g.reported.report.RateLimit
+	occupancy.Started, occupancy.RateLimit = g.startedTotal, g.rate.limit
 	for _, class := range state.Classes() {
 		occupancy.Running[class] = g.guaranteed[class] + g.spare[class]
 		occupancy.Waiting[class] = g.waitingOf(class)
--- a/coordination/admission/property_test.go
+++ b/coordination/admission/property_test.go
@@ -87,18 +87,25 @@
 	m.gate.Drain(m.now)
 }
 
-// check moves the decided reservations and compares the gate with the model.
-func (m *gateModel) check(t *rapid.T) {
-	before := len(m.running)
+// moveDecided removes the decided reservations from the waiting ones, and calls started
+// for each that was granted.
+func (m *gateModel) moveDecided(started func()) {
 	m.waiting = slices.DeleteFunc(m.waiting, func(reservation *admission.Reservation) bool {
 		if !decided(reservation) {
 			return false
 		}
 		if granted(reservation) {
 			m.running = append(m.running, reservation)
+			started()
 		}
 		return true
 	})
+}
+
+// check moves the decided reservations and compares the gate with the model.
+func (m *gateModel) check(t *rapid.T) {
+	before := len(m.running)
+	m.moveDecided(func() {})
 	hint := m.gate.Load()
 	require.Equal(t, len(m.waiting), hint.Waiting, "a reservation was lost")
 	require.Equal(t, len(m.running), hint.Running)
--- a/coordination/admission/report.go
+++ b/coordination/admission/report.go
@@ -38,7 +38,23 @@
 	if incarnation != g.server.Incarnation {
 		return ReportChange{}
 	}
-	return g.reported.update(now, report)
+	change := g.reported.update(now, report)
+	g.updateCredits(now)
+	g.rate.set(now, report.RateLimit)
+	g.reschedule(now)
+	return change
+}
+
+// adoptRateLimit applies a rate limit that an entry node knows. It has no effect once
+// the backend server itself has reported, or if a lower limit is known: a guard that
+// has just started must not exceed the limit until the first answer.
+func (g *Gate) adoptRateLimit(now time.Time, known call.RateLimit) {
+	if g.reported.heard || !known.Limited {
+		return
+	}
+	if !g.rate.limit.Limited || known.PerSecond < g.rate.limit.PerSecond {
+		g.rate.set(now, known)
+	}
 }
 
 func (r *reported) update(now time.Time, report call.ServerReport) ReportChange {
--- a/coordination/admission/request.go
+++ b/coordination/admission/request.go
@@ -11,6 +11,7 @@
 	defer g.mu.Unlock()
 	g.updateCredits(now)
 	g.expire(now)
+	g.adoptRateLimit(now, reservation.knownLimit)
 	if refusal := g.checkRequest(now, reservation); refusal != nil {
 		reservation.refuse(refusal)
 		return reservation
@@ -69,7 +70,7 @@
 
 // canStartNow reports whether a new reservation gets a slot without waiting.
 func (g *Gate) canStartNow(now time.Time, reservation *Reservation) bool {
-	if len(g.waiting) > 0 || g.runningExclusive != nil {
+	if len(g.waiting) > 0 || g.runningExclusive != nil || !g.rate.allows(now) {
 		return false
 	}
 	if reservation.exclusive {
@@ -88,8 +89,9 @@
 	work := g.serviceTimes[reservation.class].mean() * time.Duration(ahead)
 	for class := range reservation.class {
 		work += g.serviceTimes[class].mean() * time.Duration(g.waitingOf(class))
+		ahead += g.waitingOf(class)
 	}
-	return work / time.Duration(max(1, g.usable(now)))
+	return max(work/time.Duration(max(1, g.usable(now))), g.rate.wait(now, ahead+1))
 }
 
 // makeQueueRoom returns a refusal when the queue of the class is full. If the
--- a/coordination/admission/reservation.go
+++ b/coordination/admission/reservation.go
@@ -17,6 +17,8 @@
 	deadline     time.Time
 	softDeadline time.Time
 	exclusive    bool
+	// knownLimit is the rate limit of the backend server that the entry node knows.
+	knownLimit call.RateLimit
 	// late is set when the call cannot be answered by its soft deadline.
 	late    bool
 	decided chan struct{}
@@ -63,6 +65,7 @@
 		softDeadline: head.SoftDeadline,
 		latestStart:  head.Deadline,
 		exclusive:    exclusive,
+		knownLimit:   head.RateLimit,
 		decided:      alreadyDecided,
 	}
 	if reservation.softDeadline.IsZero() || reservation.softDeadline.After(reservation.deadline) {
--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -34,6 +34,8 @@
 	// Suspect is set when an earlier attempt of the call was in flight when a
 	// backend server crashed.
 	Suspect bool
+	// RateLimit is the limit of the backend server that the entry node knows.
+	RateLimit RateLimit
 	// ReachedAttempts is the number of earlier attempts that reached a backend server.
 	// MaxReachedAttempts is the maximum number of such attempts, including this one; 0
 	// means no limit. Both are used by the entry node only.
@@ -80,6 +82,13 @@
 	Slots int
 	// Draining is set when the backend server takes no new calls.
 	Draining bool
+	// Incarnation is the incarnation of the backend server that the hint is about.
+	Incarnation int64
+	// RateLimit is the limit that is in force at the guard. Without Reported, the
+	// backend server has not answered the guard yet, and no limit means that none is
+	// known.
+	RateLimit RateLimit
+	Reported  bool
 }
 
 // Request is the request of a caller as read by a front end, before its route
--- a/coordination/picking/picking.go
+++ b/coordination/picking/picking.go
@@ -114,6 +114,15 @@
 	})
 }
 
+// RateLimitOf returns the rate limit of a backend server, as its guard last knew it.
+func (p *Picker) RateLimitOf(server state.BackendServer) call.RateLimit {
+	stats, _ := p.servers.Get(server.Name)
+	if stats.rateLimitOf != server.Incarnation {
+		return call.RateLimit{}
+	}
+	return stats.rateLimit
+}
+
 // ObserveRefusal updates the statistics with the refusal of an attempt at a
 // backend server.
 func (p *Picker) ObserveRefusal(now time.Time, server state.BackendServerName, refusal *state.Refusal) {
--- a/coordination/picking/serverstats.go
+++ b/coordination/picking/serverstats.go
@@ -16,6 +16,10 @@
 
 	hint     call.LoadHint
 	hintedAt time.Time
+	// rateLimit is the limit of the incarnation rateLimitOf, as its guard last knew
+	// it.
+	rateLimit   call.RateLimit
+	rateLimitOf int64
 	// picked is the number of picks since the hint; it decays like the hint.
 	picked   float64
 	pickedAt time.Time
@@ -97,6 +101,9 @@
 	s.picked = 0
 	s.consecutiveFailures = 0
 	s.ejectedUntil = time.Time{}
+	if load.Reported || load.RateLimit.Limited {
+		s.rateLimit, s.rateLimitOf = load.RateLimit, load.Incarnation
+	}
 	if load.Draining {
 		s = s.withDraining(now)
 	}
--- a/coordination/picking/serverstats_test.go
+++ b/coordination/picking/serverstats_test.go
@@ -53,6 +53,19 @@
 	require.Greater(t, pickMany(t, picker, now, snapshot)["lahore-1"], picks/5, "its backend server needs no slow start")
 }
 
+func TestRateLimitIsKnownUntilTheBackendServerEndsIt(t *testing.T) {
+	hosts, _ := newHosts()
+	picker := newPicker(hosts)
+	server := state.BackendServer{Name: "lahore-1", Incarnation: 7}
+	limit := call.RateLimit{Limited: true, PerSecond: 3}
+	picker.ObserveLoadHint(epoch, call.LoadHint{BackendServer: "lahore-1", Incarnation: 7, RateLimit: limit, Reported: true})
+	picker.ObserveLoadHint(epoch, call.LoadHint{BackendServer: "lahore-1"})
+	require.Equal(t, limit, picker.RateLimitOf(server), "a guard that has just started knows of no limit")
+	require.Zero(t, picker.RateLimitOf(state.BackendServer{Name: "lahore-1", Incarnation: 8}))
+	picker.ObserveLoadHint(epoch, call.LoadHint{BackendServer: "lahore-1", Incarnation: 7, Reported: true})
+	require.Zero(t, picker.RateLimitOf(server))
+}
+
 func TestNewIncarnationDiscardsStats(t *testing.T) {
 	hosts, snapshot := newHosts()
 	picker := newPicker(hosts)
--- a/protocol/callwire/fuzz_test.go
+++ b/protocol/callwire/fuzz_test.go
@@ -1,6 +1,7 @@
 package callwire_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -49,12 +50,32 @@
 		Deadline: now.Add(time.Second), SoftDeadline: now.Add(time.Millisecond), Fingerprint: 9, IdempotencyKey: "k",
 		Idempotent: true, Method: "PUT", Target: "/a?b", Authority: "desk.example",
 		Fields: []call.Field{{Name: "A", Value: "b"}}, ContentLength: -1,
+		RateLimit: call.RateLimit{Limited: true, PerSecond: 2.5},
 	}
 	decoded, err := callwire.DecodeHead(now, callwire.EncodeHead(now, head))
 	require.NoError(t, err)
 	require.Equal(t, head, decoded)
 }
 
+func TestLoadHintRoundTrip(t *testing.T) {
+	load := call.LoadHint{
+		BackendServer: "desk-0", Running: 1, Waiting: 2, Slots: 3, Draining: true, Incarnation: 1700000000000,
+		RateLimit: call.RateLimit{Limited: true}, Reported: true,
+	}
+	refusal := state.NotRun(state.RefusedDraining, "leaving")
+	_, decoded := callwire.DecodeRefusal(callwire.EncodeRefusal("id-1", refusal, load))
+	require.Equal(t, load, decoded)
+	require.Equal(t, load, callwire.DecodeReplyHead(callwire.EncodeReplyHead(call.ReplyHead{Load: load})).Load)
+}
+
+func TestRateLimitThatIsNoRateIsIgnored(t *testing.T) {
+	for _, perSecond := range []float64{-1, math.Inf(1), math.NaN()} {
+		head, err := callwire.DecodeHead(now, &wirepb.CallHead{Id: "id-1", BackendServer: "desk-0", RateLimit: &perSecond})
+		require.NoError(t, err)
+		require.Zero(t, head.RateLimit)
+	}
+}
+
 // FuzzDecodeRefusal checks that no outcome other than "not run" is decoded as
 // "not run", and that "done" is never decoded.
 func FuzzDecodeRefusal(f *testing.F) {
--- a/protocol/callwire/head.go
+++ b/protocol/callwire/head.go
@@ -38,6 +38,7 @@
 	if !head.SoftDeadline.IsZero() {
 		message.WantedNanos = proto.Int64(int64(head.SoftDeadline.Sub(now)))
 	}
+	message.RateLimit = encodeRateLimit(head.RateLimit)
 	return message
 }
 
@@ -81,6 +82,7 @@
 		Authority:      message.GetAuthority(),
 		Fields:         decodeFields(message.GetFields()),
 		ContentLength:  message.GetContentLength(),
+		RateLimit:      decodeRateLimit(message.RateLimit),
 	}
 	if message.WantedNanos != nil {
 		head.SoftDeadline = now.Add(time.Duration(message.GetWantedNanos()))
--- a/protocol/callwire/refusal.go
+++ b/protocol/callwire/refusal.go
@@ -1,8 +1,11 @@
 package callwire
 
 import (
+	"math"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/protocol/wirepb"
 	"github.com/wasabiport/wasabiport/state"
@@ -45,15 +48,39 @@
 		Waiting:       uint32(load.Waiting),
 		Slots:         uint32(load.Slots),
 		Draining:      load.Draining,
+		Incarnation:   load.Incarnation,
+		RateLimit:     encodeRateLimit(load.RateLimit),
+		Reported:      load.Reported,
 	}
 }
 
 func decodeLoad(message *wirepb.LoadHint) call.LoadHint {
+	if message == nil {
+		return call.LoadHint{}
+	}
 	return call.LoadHint{
 		BackendServer: state.BackendServerName(message.GetBackendServer()),
 		Running:       int(message.GetRunning()),
 		Waiting:       int(message.GetWaiting()),
 		Slots:         int(message.GetSlots()),
 		Draining:      message.GetDraining(),
+		Incarnation:   message.GetIncarnation(),
+		RateLimit:     decodeRateLimit(message.RateLimit),
+		Reported:      message.GetReported(),
+	}
+}
+
+func encodeRateLimit(limit call.RateLimit) *float64 {
+	if !limit.Limited {
+		return nil
+	}
+	return proto.Float64(limit.PerSecond)
+}
+
+// decodeRateLimit returns no limit for one that is not a number of calls per second.
+func decodeRateLimit(perSecond *float64) call.RateLimit {
+	if perSecond == nil || !(*perSecond >= 0) || math.IsInf(*perSecond, 0) {
+		return call.RateLimit{}
 	}
+	return call.RateLimit{Limited: true, PerSecond: *perSecond}
 }
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -36,6 +36,7 @@
 			return nil, retry.RefusalWithoutRecord(head, refusal)
 		}
 		head.BackendServer = server.Name
+		head.RateLimit = h.policies.Picker.RateLimitOf(server)
 		sentAt := time.Now()
 		result := h.send(contexts, server, head, body)
 		callResult.Attempts = append(callResult.Attempts, Attempt{
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -34,6 +34,8 @@
 	probe    *crashProbe
 	notifier PeerNotifier
 	logger   logr.Logger
+	// ticks wakes the calls that wait for the rate limit.
+	ticks *tickTimer
 }
 
 // handle waits for a slot and runs the call. The call leaves the queue when
@@ -61,6 +63,7 @@
 			g.suspects.RecordSurvival(time.Now(), head.Fingerprint)
 		}
 		g.admission.ReleaseWithResult(time.Now(), reservation, result)
+		g.awaitGrant()
 	}
 	if refusal := g.recheckSuspect(head, exclusive); refusal != nil {
 		release(admission.ResultAborted)
@@ -92,6 +95,7 @@
 		return reservation.Refusal()
 	default:
 	}
+	g.awaitGrant()
 	if confirmer, ok := body.(callstream.StartConfirmer); ok {
 		// The error can be ignored: ctx ends when the stream is lost.
 		_ = confirmer.NotifyQueued()
@@ -185,6 +189,7 @@
 		inFlight:  newInFlight(),
 		notifier:  g.notifier,
 		logger:    g.logger,
+		ticks:     &tickTimer{},
 	}
 }
 
--- a/transport/guard/report.go
+++ b/transport/guard/report.go
@@ -13,6 +13,7 @@
 		return
 	}
 	change := g.admission.Report(time.Now(), g.server.Incarnation, *report)
+	g.awaitGrant()
 	if change.RateLimitChanged {
 		events.Log(g.logger, events.BackendServerRateLimited{
 			BackendServer: g.server.Name,
