Send no more calls to a backend server that reports that it leaves

What callers would see: requests at a backend server that has said in its answers that it is about to exit, and fails them when it does (DRAIN).

Cause: the same as that of the ignored rate limit, a word of the backend server in its answers that nobody reads. A second fault beside it: an entry node forgets a drain that it has observed when the node of the backend server restarts or leaves and returns, though the backend server does not restart with it.

Change: the report drains the gate, and reaches entry nodes in the load hint together with the incarnation that it is about. They keep it until another incarnation is registered, and for the retention of drains if the registration disappears.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -187,6 +187,7 @@
 		Incarnation:   g.server.Incarnation,
 		RateLimit:     g.rate.limit,
 		Reported:      g.reported.heard,
+		Leaving:       g.reported.leaving,
 	}
 }
 
@@ -216,7 +217,7 @@
 	return g.rate.slots(g.usable(now), g.serviceTimeOfAll.mean())
 }
 
-func (g *Gate) draining() bool { return g.drainRequested || g.server.Draining }
+func (g *Gate) draining() bool { return g.drainRequested || g.server.Draining || g.reported.leaving }
 
 func (g *Gate) configure(server state.BackendServer, service state.Service) {
 	if server.Incarnation != g.server.Incarnation {
--- a/coordination/admission/gate_test.go
+++ b/coordination/admission/gate_test.go
@@ -140,6 +140,10 @@
 			leaving.Draining = true
 			gate.Configure(epoch, leaving, testService)
 		},
+		"reported": func(gate *admission.Gate) {
+			gate.Report(epoch, 0, call.ServerReport{Leaving: true})
+			gate.Report(epoch, 0, call.ServerReport{}) // an answer that was sent earlier
+		},
 	}
 	for name, drain := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/coordination/admission/report.go
+++ b/coordination/admission/report.go
@@ -11,6 +11,9 @@
 	// heard is set once it has said anything.
 	heard  bool
 	report call.ServerReport
+	// leaving is set once it has reported that it is about to exit. Answers may
+	// arrive out of order, so a later one does not undo it.
+	leaving bool
 	// limitedAt is when the rate limit was reported first, or changed. started is
 	// the number of calls that got a slot since then.
 	limitedAt time.Time
@@ -60,7 +63,7 @@
 func (r *reported) update(now time.Time, report call.ServerReport) ReportChange {
 	change := ReportChange{
 		RateLimitChanged: report.RateLimit != r.report.RateLimit,
-		BeganLeaving:     report.Leaving && !r.report.Leaving,
+		BeganLeaving:     report.Leaving && !r.leaving,
 	}
 	if change.RateLimitChanged {
 		change.Before, change.After, change.Started = r.report.RateLimit, report.RateLimit, r.started
@@ -70,6 +73,7 @@
 		r.limitedAt, r.started = now, 0
 	}
 	r.heard = true
+	r.leaving = r.leaving || report.Leaving
 	r.report = report
 	return change
 }
--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -89,6 +89,8 @@
 	// known.
 	RateLimit RateLimit
 	Reported  bool
+	// Leaving is set when the backend server has reported that it is about to exit.
+	Leaving bool
 }
 
 // Request is the request of a caller as read by a front end, before its route
@@ -136,8 +138,9 @@
 }
 
 // ServerReport is what a backend server says of itself in a response, besides its
-// response to the call. It holds until the next response.
+// response to the call.
 type ServerReport struct {
+	// RateLimit holds until the next response.
 	RateLimit RateLimit
 	// Leaving is set when the backend server is about to exit.
 	Leaving bool
--- a/coordination/picking/candidates.go
+++ b/coordination/picking/candidates.go
@@ -58,7 +58,7 @@
 		}
 		phase := p.hosts.PhaseOf(server.Host)
 		stats := p.statsOf(now, server, phase)
-		if stats.draining() || phase == state.HostLeaving || phase == state.HostGone {
+		if stats.draining() || stats.isLeaving(server.Incarnation) || phase == state.HostLeaving || phase == state.HostGone {
 			continue
 		}
 		lastResort := phase == state.HostSuspect || stats.isEjected(now)
@@ -108,7 +108,7 @@
 	}
 	p.servers.Update(server.Name, func(stored serverStats, _ bool) (serverStats, bool) {
 		if stats = stored; stats.incarnation != server.Incarnation {
-			stats = serverStats{incarnation: server.Incarnation}
+			stats = stored.forIncarnation(server.Incarnation)
 		}
 		if stats.draining() {
 			restarted := p.hosts.StartSeenAt(server.Host).After(stats.drainingSince)
--- a/coordination/picking/picking.go
+++ b/coordination/picking/picking.go
@@ -145,11 +145,13 @@
 }
 
 // Prune removes what is stored of backend servers, services and routes that are not
-// in snapshot.
-func (p *Picker) Prune(snapshot *state.Snapshot) {
-	p.servers.RemoveIf(func(name state.BackendServerName, _ serverStats) bool {
+// in snapshot. A backend server that has reported to leave is remembered for the
+// retention of drains, because its registration may lapse and return.
+func (p *Picker) Prune(now time.Time, snapshot *state.Snapshot) {
+	p.servers.RemoveIf(func(name state.BackendServerName, stats serverStats) bool {
 		_, configured := snapshot.BackendServer(name)
-		return !configured
+		remembered := stats.leaving && now.Sub(stats.leavingAt) < p.config.DrainRetention
+		return !configured && !remembered
 	})
 	p.subsets.kept.RemoveIf(func(name state.ServiceName, _ subset) bool {
 		_, configured := snapshot.Service(name)
--- a/coordination/picking/serverstats.go
+++ b/coordination/picking/serverstats.go
@@ -24,6 +24,12 @@
 	picked   float64
 	pickedAt time.Time
 
+	// leaving is set when the incarnation leavingOf has reported that it is about to
+	// exit, last at leavingAt. It gets no more calls, whatever its host or node does.
+	leaving   bool
+	leavingOf int64
+	leavingAt time.Time
+
 	// drainingSince is set when the backend server was observed draining.
 	drainingSince time.Time
 	// hostLeft is set when its host was observed to leave after that.
@@ -104,12 +110,28 @@
 	if load.Reported || load.RateLimit.Limited {
 		s.rateLimit, s.rateLimitOf = load.RateLimit, load.Incarnation
 	}
+	if load.Leaving {
+		s.leaving, s.leavingOf, s.leavingAt = true, load.Incarnation, now
+	}
 	if load.Draining {
 		s = s.withDraining(now)
 	}
 	return s
 }
 
+// isLeaving reports whether an incarnation has reported that it is about to exit.
+func (s serverStats) isLeaving(incarnation int64) bool { return s.leaving && s.leavingOf == incarnation }
+
+// forIncarnation returns statistics of another incarnation, with nothing but what is
+// known of single incarnations.
+func (s serverStats) forIncarnation(incarnation int64) serverStats {
+	return serverStats{
+		incarnation: incarnation,
+		rateLimit:   s.rateLimit, rateLimitOf: s.rateLimitOf,
+		leaving: s.leaving, leavingOf: s.leavingOf, leavingAt: s.leavingAt,
+	}
+}
+
 // withResponse updates the failure rate with a response.
 func (s serverStats) withResponse(now time.Time, failed bool) serverStats {
 	var failure float64
--- a/coordination/picking/serverstats_test.go
+++ b/coordination/picking/serverstats_test.go
@@ -66,6 +66,22 @@
 	require.Zero(t, picker.RateLimitOf(server))
 }
 
+func TestServerThatReportsToLeaveGetsNoCallsInThatIncarnation(t *testing.T) {
+	hosts, snapshot := newHosts()
+	snapshot = withServer(snapshot, "lahore-1", func(s *state.BackendServer) { s.Incarnation = 7 })
+	picker := newPicker(hosts)
+	picker.ObserveLoadHint(epoch, call.LoadHint{BackendServer: "lahore-1", Incarnation: 7, Draining: true, Leaving: true})
+	hosts.started["host-lahore-1"] = epoch.Add(time.Second)
+	now := epoch.Add(2 * time.Second)
+	picker.ObserveLoadHint(now, hint("lahore-1", 0, 0))
+	picker.Prune(now, state.EmptySnapshot())
+	require.Zero(t, pickMany(t, picker, now, snapshot)["lahore-1"])
+	now = now.Add(2 * picking.DefaultDrainRetention)
+	require.Zero(t, pickMany(t, picker, now, snapshot)["lahore-1"])
+	next := withServer(snapshot, "lahore-1", func(s *state.BackendServer) { s.Incarnation = 8 })
+	require.NotZero(t, pickMany(t, picker, now, next)["lahore-1"])
+}
+
 func TestNewIncarnationDiscardsStats(t *testing.T) {
 	hosts, snapshot := newHosts()
 	picker := newPicker(hosts)
--- a/protocol/callwire/fuzz_test.go
+++ b/protocol/callwire/fuzz_test.go
@@ -60,7 +60,7 @@
 func TestLoadHintRoundTrip(t *testing.T) {
 	load := call.LoadHint{
 		BackendServer: "desk-0", Running: 1, Waiting: 2, Slots: 3, Draining: true, Incarnation: 1700000000000,
-		RateLimit: call.RateLimit{Limited: true}, Reported: true,
+		RateLimit: call.RateLimit{Limited: true}, Reported: true, Leaving: true,
 	}
 	refusal := state.NotRun(state.RefusedDraining, "leaving")
 	_, decoded := callwire.DecodeRefusal(callwire.EncodeRefusal("id-1", refusal, load))
--- a/protocol/callwire/refusal.go
+++ b/protocol/callwire/refusal.go
@@ -51,6 +51,7 @@
 		Incarnation:   load.Incarnation,
 		RateLimit:     encodeRateLimit(load.RateLimit),
 		Reported:      load.Reported,
+		Leaving:       load.Leaving,
 	}
 }
 
@@ -67,6 +68,7 @@
 		Incarnation:   message.GetIncarnation(),
 		RateLimit:     decodeRateLimit(message.RateLimit),
 		Reported:      message.GetReported(),
+		Leaving:       message.GetLeaving(),
 	}
 }
 
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -181,7 +181,7 @@
 func (h *Handler) Watch(ctx context.Context) {
 	for {
 		snapshot, changed := h.snapshots.Watch()
-		h.policies.Picker.Prune(snapshot)
+		h.policies.Picker.Prune(time.Now(), snapshot)
 		select {
 		case <-changed:
 		case <-ctx.Done():
