--- a/coordination/picking/serverstats.go
+++ b/coordination/picking/serverstats.go
@@ -120,7 +120,9 @@
 }
 
 // isLeaving reports whether an incarnation has reported that it is about to exit.
-func (s serverStats) isLeaving(incarnation int64) bool { return s.leaving && s.leavingOf == incarnation }
+func (s serverStats) isLeaving(incarnation int64) bool {
+	return s.leaving && s.leavingOf == incarnation
+}
 
 // forIncarnation returns statistics of another incarnation, with nothing but what is
 // known of single incarnations.
