Keep the era of the store beside its revisions

Cause: the nodes took revisions for times. Over the return of the store, which gives revisions out again, the readers kept the revision after which to watch and that of the newest configuration. Ruled out: an old configuration that wins (no node's version decreased).

Change: a position in the store is an era and a revision. Event 307 says that the store has returned.

--- a/state/host.go
+++ b/state/host.go
@@ -50,13 +50,22 @@
 // HostList is the platform's list of hosts. It may be stale: hosts that have
 // just started or stopped appear in it with a delay.
 type HostList struct {
-	// Version increases with each change of the list.
+	// Version increases with each change of the list, see EpochOf.
 	Version uint64
 	Hosts   []Host
 	// Registered are the backend servers that have registered themselves.
 	Registered []BackendServer
 }
 
+// VersionsPerEpoch is the number of versions of the host list within an epoch. It is a
+// power of ten, so that both parts can be read in a log line.
+const VersionsPerEpoch = 1_000_000_000_000
+
+// EpochOf returns the epoch of a version of the host list. An epoch begins when the
+// platform returns from a copy of an earlier state, so that a list of it may hold what
+// a list of the epoch before did not hold any more.
+func EpochOf(version uint64) uint64 { return version / VersionsPerEpoch }
+
 // Digest returns a hash of the hosts and backend servers that does not depend
 // on their order. It does not cover Version, nor BackendServer.WarmAt, which each
 // reader of the platform computes with its own clock.
--- a/transport/events/catalogue.go
+++ b/transport/events/catalogue.go
@@ -24,6 +24,7 @@
 		SourceAnsweredOld{},
 		SourceValueIgnored{},
 		SourceAnswerSlow{},
+		SourceRestored{},
 		BackendServerRegistered{},
 		BackendServerUnregistered{},
 		PeerConnected{},
--- a/transport/events/ticket.go
+++ b/transport/events/ticket.go
@@ -77,3 +77,18 @@
 func (HostListChanged) Kind() Kind {
 	return Kind{303, LevelDebug, "host-list-changed", "The platform has published a new host list."}
 }
+
+// SourceRestored is logged when the platform has returned from a copy of an earlier
+// state: what was written since is lost, and its revisions are given out again.
+type SourceRestored struct {
+	// Era counts the returns.
+	Era            uint64 `event:"era"`
+	Revision       uint64 `event:"revision"`
+	EraBefore      uint64 `event:"era_before"`
+	RevisionBefore uint64 `event:"revision_before"`
+}
+
+// Kind returns the description of the event.
+func (SourceRestored) Kind() Kind {
+	return Kind{307, LevelInfo, "source-restored", "The platform has returned from a copy of an earlier state. The node keeps the newer configuration that it has and reads everything again."}
+}
--- a/transport/source/client.go
+++ b/transport/source/client.go
@@ -99,5 +99,6 @@
 	if wait > 0 {
 		query.Set("wait", wait.String())
 	}
-	return c.reader.Read(ctx, path, query, Limits{Timeout: wait + readTimeout}, answer)
+	_, err := c.reader.Read(ctx, path, query, Limits{Timeout: wait + readTimeout}, answer)
+	return err
 }
--- a/transport/source/reader.go
+++ b/transport/source/reader.go
@@ -50,28 +50,28 @@
 	MaxBytes int64
 }
 
-// Read decodes the document at a path into answer. It fails when the answer begins
+// Read decodes the document at a path into answer and returns the header. It fails when the answer begins
 // too late, stalls, takes over 10 s or is too large. All errors except an invalid
 // URL are marked with ErrUnavailable, and those of answers that are too large with
 // ErrTooLarge; the chain holds a *StatusError or a *ThrottledError when the status
 // was not 200.
-func (r *Reader) Read(ctx context.Context, path string, query url.Values, limits Limits, answer any) error {
+func (r *Reader) Read(ctx context.Context, path string, query url.Values, limits Limits, answer any) (http.Header, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.baseURL+path+"?"+query.Encode(), http.NoBody)
 	if err != nil {
-		return errors.Wrapf(err, "read %s", path)
+		return nil, errors.Wrapf(err, "read %s", path)
 	}
 	noAnswer := time.AfterFunc(limits.Timeout, func() { cancel(errNoAnswer) })
 	defer noAnswer.Stop()
 	response, err := r.http.Do(request)
 	if err != nil {
-		return markUnavailable(withCause(ctx, err), path)
+		return nil, markUnavailable(withCause(ctx, err), path)
 	}
 	noAnswer.Stop()
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return markUnavailable(statusError(response), path)
+		return nil, markUnavailable(statusError(response), path)
 	}
 	started := time.Now()
 	body, err := readBody(response, limits.MaxBytes, cancel)
@@ -79,9 +79,9 @@
 		events.Log(r.logger, events.SourceAnswerSlow{Path: path, Bytes: len(body), Duration: duration})
 	}
 	if err != nil {
-		return markUnavailable(withCause(ctx, err), path)
+		return nil, markUnavailable(withCause(ctx, err), path)
 	}
-	return markUnavailable(json.Unmarshal(body, answer), path)
+	return response.Header, markUnavailable(json.Unmarshal(body, answer), path)
 }
 
 // withCause returns the reason why the context of a read was canceled, or err when
