Read again at once when the source answers the other read

What callers would see: a configuration that is acknowledged 0.1 to 0.5 s after the store is back is in force up to 2.8 s later, though the store answers.

Cause: a reader has two reads, each with a backoff of its own. After an outage the read of the entries had recovered at 0.03 s, and that of the configuration waited for the rest of its backoff, up to 2.8 s.

Change: an answer to one read ends the backoff of the other, at nodes that watch the source; the others keep to their rate.

--- a/coordination/control/hosts.go
+++ b/coordination/control/hosts.go
@@ -47,6 +47,7 @@
 	effective, uncertain := p.expiredServers.reconcile(now, known, list)
 	p.applyHostList(now, &output, "", effective)
 	p.hostListReads.RecordAnswer(now, answer)
+	p.ticketReads.RecordSourceAnswer(now)
 	p.schedule.expediteHeartbeat(now, p.hostListReads.ConfirmedAt())
 	if uncertain {
 		p.broadcast(&output, HostListRequest{}, "")
--- a/coordination/control/source.go
+++ b/coordination/control/source.go
@@ -39,6 +39,7 @@
 		output.report(StaleSourceAnswer{})
 	}
 	p.ticketReads.RecordAnswer(now, answer)
+	p.hostListReads.RecordSourceAnswer(now)
 	p.readiness.recordSourceAnswer()
 	return output
 }
--- a/coordination/sourcereading/scheduler.go
+++ b/coordination/sourcereading/scheduler.go
@@ -247,6 +247,17 @@
 	}
 }
 
+// RecordSourceAnswer records that the source has answered a read of another value. A
+// reader whose latest read has failed reads again within WatchPause, instead of after
+// the rest of its backoff.
+func (s *Scheduler) RecordSourceAnswer(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reader && s.failures > 0 {
+		s.nextAt = earlier(s.nextAt, now.Add(s.randomUpTo(s.config.WatchPause)))
+	}
+}
+
 // RecordIsolation records that this node has no peers and has to read the source
 // itself.
 func (s *Scheduler) RecordIsolation(now time.Time) {
--- a/coordination/sourcereading/scheduler_test.go
+++ b/coordination/sourcereading/scheduler_test.go
@@ -108,3 +108,18 @@
 	require.True(t, at.After(afterConfirmations.Add(30*time.Second)), "the state is still recent")
 	require.True(t, at.Before(afterConfirmations.Add(2*time.Minute)), "the node reads after FallbackAfter")
 }
+
+func TestReaderReadsSoonAfterTheSourceAnsweredAnotherRead(t *testing.T) {
+	scheduler := newScheduler(10, 1)
+	scheduler.SetRole(start, true, 10)
+	for range 20 {
+		scheduler.RecordFailure(start)
+	}
+	now := start.Add(10 * time.Millisecond)
+	scheduler.RecordSourceAnswer(now)
+	require.False(t, scheduler.Next(now).At.After(now.Add(time.Second)))
+	scheduler.SetRole(now, false, 10)
+	before := scheduler.Next(now).At
+	scheduler.RecordSourceAnswer(now)
+	require.Equal(t, before, scheduler.Next(now).At, "nodes that are no readers keep to their rate")
+}
