Don't pick backend servers that have left because a restored store lists them

Cause: the same as that of the late configuration: what a restored store says counts as newer than what it said before. For the entries it is not.

Change: entry nodes remember which incarnations were registered as draining, and which had unregistered in an earlier epoch of the registry, and do not pick them; a lapsed registration that returns in the same epoch is used at once, as before. The epoch is the upper part of the version of the host list, so nothing changes on the wire.

--- a/coordination/picking/candidates.go
+++ b/coordination/picking/candidates.go
@@ -58,7 +58,8 @@
 		}
 		phase := p.hosts.PhaseOf(server.Host)
 		stats := p.statsOf(now, server, phase)
-		if stats.draining() || stats.isLeaving(server.Incarnation) || phase == state.HostLeaving || phase == state.HostGone {
+		left := stats.isLeaving(server.Incarnation) || stats.registration.excludes(now, server.Incarnation, p.config)
+		if stats.draining() || left || phase == state.HostLeaving || phase == state.HostGone {
 			continue
 		}
 		lastResort := phase == state.HostSuspect || stats.isEjected(now)
--- a/coordination/picking/config.go
+++ b/coordination/picking/config.go
@@ -20,6 +20,7 @@
 	DefaultBaseEjectionTime = 200 * time.Millisecond
 	DefaultMaxEjectionTime  = 30 * time.Second
 	DefaultDrainRetention   = time.Minute
+	DefaultRelistDelay      = 6 * time.Second
 )
 
 // slowStartMinWeight is the minimum weight of a backend server during slow
@@ -96,6 +97,10 @@
 	// gets no calls, unless its host was observed to leave and return or its
 	// node to restart. Default 1 minute.
 	DrainRetention time.Duration
+	// RelistDelay is how long a backend server gets no calls that had unregistered
+	// before the platform returned from a copy in which it is registered. It should be
+	// longer than a registration takes to expire. Default 6 seconds.
+	RelistDelay time.Duration
 }
 
 // HostPhases provides the phases of the hosts of backend servers.
@@ -136,5 +141,8 @@
 	if c.DrainRetention == 0 {
 		c.DrainRetention = DefaultDrainRetention
 	}
+	if c.RelistDelay == 0 {
+		c.RelistDelay = DefaultRelistDelay
+	}
 	return c
 }
--- a/coordination/picking/picking.go
+++ b/coordination/picking/picking.go
@@ -144,25 +144,6 @@
 	}
 }
 
-// Prune removes what is stored of backend servers, services and routes that are not
-// in snapshot. A backend server that has reported to leave is remembered for the
-// retention of drains, because its registration may lapse and return.
-func (p *Picker) Prune(now time.Time, snapshot *state.Snapshot) {
-	p.servers.RemoveIf(func(name state.BackendServerName, stats serverStats) bool {
-		_, configured := snapshot.BackendServer(name)
-		remembered := stats.leaving && now.Sub(stats.leavingAt) < p.config.DrainRetention
-		return !configured && !remembered
-	})
-	p.subsets.kept.RemoveIf(func(name state.ServiceName, _ subset) bool {
-		_, configured := snapshot.Service(name)
-		return !configured
-	})
-	p.routes.averages.RemoveIf(func(name state.RouteName, _ routeAverages) bool {
-		_, configured := snapshot.Route(name)
-		return !configured
-	})
-}
-
 // eject returns stats with the backend server ejected for a random time (full
 // jitter). draw is a random number in [0, 1).
 func (p *Picker) eject(now time.Time, stats serverStats, draw float64) serverStats {
--- a/coordination/picking/picking_test.go
+++ b/coordination/picking/picking_test.go
@@ -238,7 +238,7 @@
 		answered.Route = state.RouteName("route-of-" + name)
 		picker.ObserveResponse(epoch, answered, picking.Response{Bytes: 1})
 	}
-	picker.Prune(epoch, snapshot)
+	picker.ObserveSnapshot(epoch, snapshot)
 	servers, routes := picker.TrackedCounts()
 	require.Equal(t, 1, servers)
 	require.Zero(t, routes)
--- a/coordination/picking/serverstats.go
+++ b/coordination/picking/serverstats.go
@@ -30,6 +30,10 @@
 	leavingOf int64
 	leavingAt time.Time
 
+	registration registration
+	// listedAs is the incarnation that is registered, or 0.
+	listedAs int64
+
 	// drainingSince is set when the backend server was observed draining.
 	drainingSince time.Time
 	// hostLeft is set when its host was observed to leave after that.
@@ -124,6 +128,12 @@
 	return s.leaving && s.leavingOf == incarnation
 }
 
+// isRemembered reports whether the statistics still matter though the backend server is
+// not registered.
+func (s serverStats) isRemembered(now time.Time, retention time.Duration) bool {
+	return s.leaving && now.Sub(s.leavingAt) < retention || s.registration.isRemembered(now, retention)
+}
+
 // forIncarnation returns statistics of another incarnation, with nothing but what is
 // known of single incarnations.
 func (s serverStats) forIncarnation(incarnation int64) serverStats {
@@ -131,6 +141,7 @@
 		incarnation: incarnation,
 		rateLimit:   s.rateLimit, rateLimitOf: s.rateLimitOf,
 		leaving: s.leaving, leavingOf: s.leavingOf, leavingAt: s.leavingAt,
+		registration: s.registration, listedAs: s.listedAs,
 	}
 }
 
--- a/coordination/picking/serverstats_test.go
+++ b/coordination/picking/serverstats_test.go
@@ -74,7 +74,7 @@
 	hosts.started["host-lahore-1"] = epoch.Add(time.Second)
 	now := epoch.Add(2 * time.Second)
 	picker.ObserveLoadHint(now, hint("lahore-1", 0, 0))
-	picker.Prune(now, state.EmptySnapshot())
+	picker.ObserveSnapshot(now, state.EmptySnapshot())
 	require.Zero(t, pickMany(t, picker, now, snapshot)["lahore-1"])
 	now = now.Add(2 * picking.DefaultDrainRetention)
 	require.Zero(t, pickMany(t, picker, now, snapshot)["lahore-1"])
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -176,12 +176,11 @@
 	}
 }
 
-// Watch waits for changes of the configuration until ctx ends, and removes the
-// load data of backend servers and routes that no longer exist.
+// Watch tells the picker of changes of the configuration until ctx ends.
 func (h *Handler) Watch(ctx context.Context) {
 	for {
 		snapshot, changed := h.snapshots.Watch()
-		h.policies.Picker.Prune(time.Now(), snapshot)
+		h.policies.Picker.ObserveSnapshot(time.Now(), snapshot)
 		select {
 		case <-changed:
 		case <-ctx.Done():
