--- a/coordination/picking/registrations.go
+++ b/coordination/picking/registrations.go
@@ -35,15 +35,18 @@
 	return drained || old
 }
 
-// withListed records that a backend server is registered.
+// withListed records that a backend server is registered. A registration that returns
+// in the epoch in which it was lost has been renewed; in a later one it may be old.
 func (r registration) withListed(now time.Time, server state.BackendServer, epoch uint64) registration {
-	switch {
-	case server.Draining:
+	if server.Draining {
 		r.drainedOf, r.drainedAt = server.Incarnation, now
-	case r.lostOf != server.Incarnation:
-	case epoch <= r.lostIn:
+	}
+	if r.lostOf != server.Incarnation {
+		return r
+	}
+	if epoch <= r.lostIn {
 		r.lostOf = 0
-	case r.relistedAt.IsZero():
+	} else if r.relistedAt.IsZero() {
 		r.relistedAt = now
 	}
 	return r
--- a/providers.go
+++ b/providers.go
@@ -145,7 +145,9 @@
 	if mapper == nil {
 		mapper = httpmap.BackendMapper{}
 	}
-	return guard.New(config.Self.Name, mapper, snapshots, policies, notifier, config.Network, guard.Logging{Logger: logger, CallLineLimit: limiters.Guard})
+	return guard.New(config.Self.Name, mapper, snapshots, policies, notifier, config.Network, guard.Logging{
+		Logger: logger, CallLineLimit: limiters.Guard, ReportLineLimit: limiters.Reports,
+	})
 }
 
 func newCallObserver(
--- a/transport/events/guard.go
+++ b/transport/events/guard.go
@@ -42,11 +42,14 @@
 	// since the last change.
 	Started int           `event:"started"`
 	Period  time.Duration `event:"period"`
+	// Suppressed is the number of lines of this kind that the rate limit
+	// suppressed since the previous one.
+	Suppressed int64 `event:"left_out"`
 }
 
 // Kind returns the description of the event.
 func (BackendServerRateLimited) Kind() Kind {
-	return Kind{503, LevelInfo, "backend-server-rate-limited", "The backend server has set, changed or ended the number of calls per second that it takes from all nodes together. Started is the number of calls that it got in the period since the last change."}
+	return Kind{503, LevelInfo, "backend-server-rate-limited", "The backend server has set, changed or ended the number of calls per second that it takes from all nodes together. Started is the number of calls that it got in the period since the last change. At most one line per second; left_out counts the others."}
 }
 
 // BackendServerLeaving is logged when a backend server first reports in an answer
--- a/transport/guard/fixture_test.go
+++ b/transport/guard/fixture_test.go
@@ -61,7 +61,7 @@
 	}
 	limiters, err := metrics.NewLineLimiters(prometheus.NewRegistry())
 	require.NoError(t, err)
-	logging := guard.Logging{Logger: logr.Discard(), CallLineLimit: limiters.Guard}
+	logging := guard.Logging{Logger: logr.Discard(), CallLineLimit: limiters.Guard, ReportLineLimit: limiters.Reports}
 	return &fixture{
 		t: t, snapshots: snapshots, network: memory,
 		guard: guard.New("host-0", mapper, snapshots, policies, noPeers{}, memory, logging),
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -15,6 +15,7 @@
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
+	"github.com/wasabiport/wasabiport/transport/events"
 )
 
 // gate runs the calls of one backend server.
@@ -34,6 +35,8 @@
 	probe    *crashProbe
 	notifier PeerNotifier
 	logger   logr.Logger
+	// reportLimiter bounds the log lines on rate limits.
+	reportLimiter *events.LineLimiter
 	// ticks wakes the calls that wait for the rate limit.
 	ticks *tickTimer
 }
@@ -178,18 +181,19 @@
 		probe = &crashProbe{ctx: g.ctx, network: g.network, goroutines: &g.probes}
 	}
 	return &gate{
-		probe:     probe,
-		mapper:    g.mapper,
-		admission: admission.NewGate(server, service),
-		server:    server,
-		service:   service,
-		transport: g.newTransport(server),
-		replaced:  new(atomic.Bool),
-		suspects:  g.policies.Suspects,
-		inFlight:  newInFlight(),
-		notifier:  g.notifier,
-		logger:    g.logger,
-		ticks:     &tickTimer{},
+		probe:         probe,
+		mapper:        g.mapper,
+		admission:     admission.NewGate(server, service),
+		server:        server,
+		service:       service,
+		transport:     g.newTransport(server),
+		replaced:      new(atomic.Bool),
+		suspects:      g.policies.Suspects,
+		inFlight:      newInFlight(),
+		notifier:      g.notifier,
+		logger:        g.logger,
+		reportLimiter: g.reportLimiter,
+		ticks:         &tickTimer{},
 	}
 }
 
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -37,8 +37,10 @@
 	logger    logr.Logger
 	// lineLimiter bounds the log lines on refused calls.
 	lineLimiter *events.LineLimiter
-	gates       *state.ShardedMap[state.BackendServerName, *gate]
-	draining    atomic.Bool
+	// reportLimiter bounds the log lines on rate limits.
+	reportLimiter *events.LineLimiter
+	gates         *state.ShardedMap[state.BackendServerName, *gate]
+	draining      atomic.Bool
 	// drainStarted is closed when Drain is first called.
 	drainStarted chan struct{}
 
@@ -84,6 +86,8 @@
 	Logger logr.Logger
 	// CallLineLimit bounds the log lines on refused calls.
 	CallLineLimit *events.LineLimiter
+	// ReportLineLimit bounds the log lines on rate limits.
+	ReportLineLimit *events.LineLimiter
 }
 
 // New returns a guard for the backend servers of a host.
@@ -98,18 +102,19 @@
 ) *Guard {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Guard{
-		host:         host,
-		mapper:       mapper,
-		network:      network,
-		snapshots:    snapshots,
-		policies:     policies,
-		notifier:     notifier,
-		logger:       logging.Logger,
-		lineLimiter:  logging.CallLineLimit,
-		gates:        state.NewShardedMap[state.BackendServerName, *gate](state.DefaultShardCount),
-		drainStarted: make(chan struct{}),
-		ctx:          ctx,
-		cancel:       cancel,
+		host:          host,
+		mapper:        mapper,
+		network:       network,
+		snapshots:     snapshots,
+		policies:      policies,
+		notifier:      notifier,
+		logger:        logging.Logger,
+		lineLimiter:   logging.CallLineLimit,
+		reportLimiter: logging.ReportLineLimit,
+		gates:         state.NewShardedMap[state.BackendServerName, *gate](state.DefaultShardCount),
+		drainStarted:  make(chan struct{}),
+		ctx:           ctx,
+		cancel:        cancel,
 	}
 }
 
--- a/transport/metrics/log.go
+++ b/transport/metrics/log.go
@@ -14,12 +14,16 @@
 	callLinesBurst      = 500
 	guardLinesPerSecond = 20
 	guardLinesBurst     = 100
+
+	reportLinesPerSecond = 1
+	reportLinesBurst     = 10
 )
 
 // LineLimiters holds the rate limiters of the log lines about calls.
 type LineLimiters struct {
-	// Calls limits the lines of an entry node, and Guard those of a guard.
-	Calls, Guard *events.LineLimiter
+	// Calls limits the lines of an entry node, Guard those of a guard on refused calls,
+	// and Reports those on what backend servers report in answers.
+	Calls, Guard, Reports *events.LineLimiter
 }
 
 // NewLineLimiters returns the rate limiters of the log lines about calls, and
@@ -32,6 +36,8 @@
 	limits := LineLimiters{
 		Calls: events.NewLineLimiter(callLinesPerSecond, callLinesBurst, counter.WithLabelValues(events.CallEnded{}.Kind().Name)),
 		Guard: events.NewLineLimiter(guardLinesPerSecond, guardLinesBurst, counter.WithLabelValues(events.GuardRefused{}.Kind().Name)),
+		Reports: events.NewLineLimiter(reportLinesPerSecond, reportLinesBurst,
+			counter.WithLabelValues(events.BackendServerRateLimited{}.Kind().Name)),
 	}
 	return limits, errors.Wrap(registry.Register(counter), "register the metrics of the log")
 }
