Review: case 2, calls that get no answer while another machine is frozen

The case breaks CONFIG: opening a stream to a peer blocks without a time limit once 64 streams are not acknowledged.

--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -21,6 +21,7 @@
 type scenario func(f *fleet, trouble bool) (verdict, error)
 
 var scenarios = map[string]scenario{
+	"frozen": frozen,
 	"killed": killed,
 }
 
