--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -93,7 +93,7 @@
 	for _, r := range routes {
 		paths = append(paths, map[string]any{
 			"name": r.name, "prefix": r.prefix, "route-type": r.kind, "timeout": fmt.Sprintf("%dms", r.timeout.Milliseconds()),
-			"slo": "500ms", "priority": 0, "service": r.service, "max-attempts": r.attempts,
+			"slo": fmt.Sprintf("%dms", (r.timeout / 2).Milliseconds()), "priority": 0, "service": r.service, "max-attempts": r.attempts,
 		})
 	}
 	body, _ := json.Marshal(map[string]any{
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -23,6 +23,7 @@
 var scenarios = map[string]scenario{
 	"frozen": frozen,
 	"killed": killed,
+	"left":   left,
 }
 
 const couldNotRun = 2
--- a/review/platform/record.go
+++ b/review/platform/record.go
@@ -17,6 +17,8 @@
 	Sent    time.Time
 	// Kept is set if the connection has carried a request before.
 	Kept bool
+	// Left is set if the client closed its connection before it had an answer.
+	Left bool
 	// Answered is zero if the client got no answer.
 	Answered time.Time
 	Status   int
@@ -34,6 +36,8 @@
 	requests []request
 	runs     []*run
 	notes    []note
+	// reached holds the times at which requests arrived at upstreams, by id.
+	reached map[string][]time.Time
 }
 
 type note struct {
@@ -41,7 +45,7 @@
 	text string
 }
 
-func newRecord() *record { return &record{started: time.Now()} }
+func newRecord() *record { return &record{started: time.Now(), reached: make(map[string][]time.Time)} }
 
 func (r *record) notef(format string, values ...any) {
 	r.mu.Lock()
@@ -50,6 +54,18 @@
 	fmt.Printf("%8.3f s  %s\n", time.Since(r.started).Seconds(), r.notes[len(r.notes)-1].text)
 }
 
+func (r *record) reach(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reached[id] = append(r.reached[id], time.Now())
+}
+
+func (r *record) reachedBy(id string) []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.reached[id]...)
+}
+
 func (r *record) begin(started run) *run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -104,6 +120,11 @@
 		}
 	}
 	r.mu.Lock()
+	for id, times := range r.reached {
+		for _, at := range times {
+			lines = append(lines, note{at, fmt.Sprintf("request %s: reaches an upstream", id)})
+		}
+	}
 	lines = append(lines, r.notes...)
 	r.mu.Unlock()
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at.Before(lines[j].at) })
--- a/review/platform/upstream.go
+++ b/review/platform/upstream.go
@@ -102,6 +102,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	u.log.reach(id)
 	ctx := r.Context()
 	if millis, err := strconv.ParseFloat(r.Header.Get("Deadline-Ms"), 64); err == nil {
 		var cancel context.CancelFunc
@@ -114,7 +115,10 @@
 		return
 	}
 	defer func() { <-u.slots }()
-	_, _ = io.Copy(io.Discard, r.Body)
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		u.log.notef("request %s: its body at %s is not complete: %v", id, u.id, err)
+		return
+	}
 	u.execute(ctx, w, r, id)
 }
 
