--- a/review/platform/killed.go
+++ b/review/platform/killed.go
@@ -37,7 +37,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	var stopped atomic.Bool
-	for i := range 12 {
+	for i := range 24 {
 		kept := &keptClient{client: f.newClient(f.machines[i%2], true)}
 		f.clients.Add(1)
 		go func() {
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -9,6 +9,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // verdict is the result of a case.
@@ -28,6 +31,21 @@
 
 const couldNotRun = 2
 
+// maxLength is the time after which a case is given up.
+const maxLength = 110 * time.Second
+
+// stopOnSignal ends all processes when this one is asked to end, or runs for too long.
+func (f *fleet) stopOnSignal() {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-asked:
+	case <-time.After(maxLength):
+	}
+	f.stop()
+	os.Exit(couldNotRun)
+}
+
 func main() {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Println("usage: platform CASE RECORD")
@@ -44,6 +62,7 @@
 		return couldNotRun
 	}
 	defer f.stop()
+	go f.stopOnSignal()
 	result, err := play(f, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		log.notef("the case could not run: %v", err)
