Don't hold calls for a node that has stopped reading

Cause: opening a stream on the session with the other node waits without a limit while the peer has not accepted 64 streams. On the same way to the caller, the first write, the end of a stream and the reads of a long answer waited for the peer for up to 5 s, whatever the deadline.

Change: openings run beside the calls, at most 64 a session, and a call waits for one until its own time limit. The first write and the end of a stream don't hold the call, and a relay reads long answers. That bounds every wait of a call on a peer by the call's own deadline.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -24,6 +24,7 @@
 type fleet struct {
 	t        *testing.T
 	network  *network.Memory
+	networks map[int]network.Network
 	platform *standin.Platform
 	nodes    []*wasabiport.Node
 	backends []*standin.BackendServer
@@ -33,9 +34,16 @@
 // newFleet starts count hosts, spread over three availability zones, each
 // with a node and a backend server of the service "desk".
 func newFleet(t *testing.T, count int) *fleet {
+	return newFleetOn(t, count, network.NewMemory(), nil)
+}
+
+// newFleetOn starts a fleet on an in-memory network. The hosts in networks use
+// networks of their own, which lead to the same addresses.
+func newFleetOn(t *testing.T, count int, memory *network.Memory, networks map[int]network.Network) *fleet {
 	f := &fleet{
 		t:        t,
-		network:  network.NewMemory(),
+		network:  memory,
+		networks: networks,
 		platform: standin.NewPlatform(standin.PlatformConfig{}),
 	}
 	f.serve(platformAddress, f.platform)
@@ -83,6 +91,9 @@
 	config.PlatformURL = "http://" + platformAddress
 	config.Seed = uint64(i + 1)
 	config.Network = f.network
+	if own, ok := f.networks[i]; ok {
+		config.Network = own
+	}
 	config.HTTPClient = f.client()
 	node, err := wasabiport.Create(f.t.Context(), config)
 	require.NoError(f.t, err)
--- a/transport/callstream/body.go
+++ b/transport/callstream/body.go
@@ -1,6 +1,7 @@
 package callstream
 
 import (
+	"context"
 	"io"
 	"sync"
 
@@ -96,3 +97,36 @@
 	r.client.close()
 	return nil
 }
+
+// relayedBody is the body of a long reply. A goroutine reads it from the stream,
+// because such a read may block beyond the deadline of the call: it also tells the
+// guard how much was read, and waits until the guard's node accepts that.
+type relayedBody struct {
+	*io.PipeReader
+	body *bodyReader
+	stop func() bool
+}
+
+// relay returns a body whose reads fail when ctx ends.
+func relay(ctx context.Context, body *bodyReader) relayedBody {
+	reader, writer := io.Pipe()
+	go func() {
+		_, err := copyChunks(body, func(chunk []byte) error {
+			_, err := writer.Write(chunk)
+			return err
+		})
+		writer.CloseWithError(err)
+	}()
+	stop := context.AfterFunc(ctx, func() {
+		writer.CloseWithError(errors.Mark(errors.Wrap(ctx.Err(), "read reply"), ErrTruncated))
+	})
+	return relayedBody{PipeReader: reader, body: body, stop: stop}
+}
+
+// Close ends the goroutine and closes the stream.
+func (r relayedBody) Close() error {
+	r.stop()
+	// Close of a pipe never fails.
+	_ = r.PipeReader.Close()
+	return r.body.Close()
+}
--- a/transport/callstream/client.go
+++ b/transport/callstream/client.go
@@ -33,9 +33,11 @@
 		reader:   frame.NewReader(stream),
 		head:     head,
 		queueCtx: queueCtx,
+
+		headWritten: make(chan struct{}),
 	}
 	client.stopAbort = context.AfterFunc(ctx, client.abort)
-	result := client.do(body)
+	result := client.do(ctx, body)
 	if result.Reply == nil {
 		client.close()
 	}
@@ -59,6 +61,8 @@
 	head      call.Head
 	stopAbort func() bool
 	queueCtx  context.Context
+	// headWritten is closed when the head was written, or could not be.
+	headWritten chan struct{}
 	// unconfirmed means that the guard must not run the call yet.
 	unconfirmed bool
 }
@@ -73,15 +77,17 @@
 // the guard keeps a record of them.
 func needsConfirmation(head call.Head) bool { return !head.Idempotent && head.IdempotencyKey == "" }
 
-func (c *client) do(body *Body) Result {
+func (c *client) do(ctx context.Context, body *Body) Result {
 	c.unconfirmed = body.Rest != nil || needsConfirmation(c.head)
 	if c.unconfirmed {
 		// An error means that the stream is closed, which the write reports.
 		_ = c.stream.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 	}
-	if err := c.sendHead(body); err != nil {
+	head, err := c.encodeHead(body)
+	if err != nil {
 		return Result{Refusal: c.lostRefusal()}
 	}
+	go c.sendHead(head)
 	defer context.AfterFunc(c.queueCtx, c.withdraw)()
 	for {
 		var reply wirepb.ReplyFrame
@@ -99,7 +105,7 @@
 		case *wirepb.ReplyFrame_Refusal:
 			return c.handleRefusal(message.Refusal)
 		case *wirepb.ReplyFrame_Head:
-			return c.handleReplyHead(message.Head)
+			return c.handleReplyHead(ctx, message.Head)
 		default:
 			return Result{Refusal: c.lostRefusal()}
 		}
@@ -123,35 +129,47 @@
 	return Result{Refusal: refusal, Load: load}
 }
 
-func (c *client) handleReplyHead(message *wirepb.ReplyHead) Result {
+func (c *client) handleReplyHead(ctx context.Context, message *wirepb.ReplyHead) Result {
 	head := callwire.DecodeReplyHead(message)
 	if head.ID != c.head.ID || !isFinalStatus(head.Status) {
 		return Result{Refusal: c.lostRefusal()}
 	}
 	reader := &bodyReader{client: c}
 	reply := &Reply{Head: head, Body: reader, Trailers: reader.receivedTrailers}
+	if !isShort(head) {
+		reply.Body = relay(ctx, reader)
+	}
 	return Result{Reply: reply, Load: head.Load}
 }
 
 // isFinalStatus reports whether a status can end an HTTP exchange.
 func isFinalStatus(status int) bool { return status >= 200 && status <= 999 }
 
-// sendHead writes the head in one write, together with the body unless the
+// encodeHead returns the head for one write, together with the body unless the
 // start of the call must be confirmed.
-func (c *client) sendHead(body *Body) error {
+func (c *client) encodeHead(body *Body) ([]byte, error) {
 	message := callwire.EncodeHead(time.Now(), c.head)
 	message.AwaitsProceed = c.unconfirmed
 	var buffer bytes.Buffer
 	if err := frame.Write(&buffer, &wirepb.CallFrame{Frame: &wirepb.CallFrame_Head{Head: message}}); err != nil {
-		return err
+		return nil, err
 	}
-	if !c.unconfirmed {
-		if err := writeBody(&buffer, body.Reader()); err != nil {
-			return err
-		}
+	if c.unconfirmed {
+		return buffer.Bytes(), nil
+	}
+	if err := writeBody(&buffer, body.Reader()); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// sendHead writes the head. The write may block beyond the deadline of the call
+// while the guard reads nothing, so the call does not wait for it.
+func (c *client) sendHead(head []byte) {
+	defer close(c.headWritten)
+	if _, err := c.stream.Write(head); err != nil {
+		c.abort()
 	}
-	_, err := c.stream.Write(buffer.Bytes())
-	return err
 }
 
 // sendBody streams the body after the guard has requested it. On an error the
@@ -176,6 +194,7 @@
 // withdraw informs the guard that the call must be dropped unless it already
 // has a slot.
 func (c *client) withdraw() {
+	<-c.headWritten
 	// An error means that the stream is closed, which the next read reports.
 	_ = frame.Write(c.stream, &wirepb.CallFrame{Frame: &wirepb.CallFrame_Withdraw{Withdraw: &wirepb.Withdraw{}}})
 }
--- a/transport/callstream/server.go
+++ b/transport/callstream/server.go
@@ -54,6 +54,10 @@
 // shortReplyBytes is the length up to which replies are sent in one write.
 const shortReplyBytes = 16 << 10
 
+func isShort(head call.ReplyHead) bool {
+	return head.ContentLength >= 0 && head.ContentLength <= shortReplyBytes
+}
+
 // writerPool holds writers that buffer one short reply or one body chunk.
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bodyChunkBytes+1<<10) }}
 
@@ -233,7 +237,7 @@
 // sendReply writes a short reply in one write. The chunks of a long reply, or
 // of one with unknown length, are flushed as they arrive.
 func (s *server) sendReply(reply *Reply) error {
-	short := reply.Head.ContentLength >= 0 && reply.Head.ContentLength <= shortReplyBytes
+	short := isShort(reply.Head)
 	writer := writerPool.Get().(*bufio.Writer)
 	writer.Reset(s.stream)
 	defer func() {
--- a/transport/peering/calls.go
+++ b/transport/peering/calls.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"context"
 	"math"
 	"net"
 	"sync"
@@ -41,20 +42,21 @@
 // open.
 func (s *session) retire() bool { return s.calls.CompareAndSwap(0, retired) }
 
-// Close closes the stream and removes the call from the count of its session.
+// Close removes the call from the count of its session and closes the stream. It
+// does not wait for a peer that reads nothing.
 func (c *callStream) Close() error {
 	c.closeOnce.Do(func() {
-		c.session.mux.streams.remove(c.stream)
 		c.session.endCall()
+		go c.stream.dispose()
 	})
-	return c.stream.Close()
+	return nil
 }
 
-func (s *session) openCall() (net.Conn, error) {
+func (s *session) openCall(ctx context.Context) (net.Conn, error) {
 	if !s.beginCall() {
 		return nil, errors.New("session is closing after its idle timeout")
 	}
-	opened, err := s.mux.open()
+	opened, err := s.opener.openWithin(ctx)
 	if err != nil {
 		s.endCall()
 		return nil, err
@@ -76,8 +78,7 @@
 		}
 		if session.calls.Load() >= int64(p.config.MaxStreams) || !session.beginCall() {
 			p.metrics.refused.Inc()
-			session.mux.streams.remove(accepted)
-			_ = accepted.Close()
+			accepted.dispose()
 			continue
 		}
 		call := &callStream{stream: accepted, session: session}
--- a/transport/peering/dial.go
+++ b/transport/peering/dial.go
@@ -73,7 +73,7 @@
 		if session.address != "" && session.address != host.PeerAddress {
 			// The host has a new address; whatever answers at the old one is
 			// a different host.
-			p.remove(session)
+			p.removeInBackground(session)
 		}
 	}
 	owner := false
--- a/transport/peering/pool.go
+++ b/transport/peering/pool.go
@@ -123,22 +123,23 @@
 }
 
 // OpenCall opens a stream for a call to a peer, over the existing session of
-// the lane or a new one.
+// the lane or a new one. It returns ErrUnresponsive if the peer accepts none, and
+// never waits longer than ctx.
 func (p *Pool) OpenCall(ctx context.Context, host state.Host, lane handshake.Lane) (net.Conn, error) {
 	session, err := p.getOrDialSession(ctx, host, lane)
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.openCall()
-	if err == nil {
-		return stream, nil
+	stream, err := session.openCall(ctx)
+	if err == nil || errors.Is(err, ErrUnresponsive) {
+		return stream, err
 	}
 	// The session ended after the lookup: try once more with another one.
-	p.remove(session)
+	p.removeInBackground(session)
 	if session, err = p.getOrDialSession(ctx, host, lane); err != nil {
 		return nil, err
 	}
-	stream, err = session.openCall()
+	stream, err = session.openCall(ctx)
 	return stream, errors.Wrapf(err, "open call to %s", host.Name)
 }
 
--- a/transport/peering/session.go
+++ b/transport/peering/session.go
@@ -29,6 +29,7 @@
 	peerConn
 	key     sessionKey
 	mux     *mux
+	opener  *opener
 	control *stream
 	queue   chan queueEntry
 
@@ -90,7 +91,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "start multiplexer")
 	}
-	session := &session{peerConn: peerConn, key: sessionKey{host: peerConn.peer.Host, lane: peerConn.peer.Lane}, mux: mux}
+	session := &session{peerConn: peerConn, key: sessionKey{host: peerConn.peer.Host, lane: peerConn.peer.Lane}, mux: mux, opener: newOpener(mux.open)}
 	session.recordUse()
 	p.track(session, dialed)
 	if session.key.lane == handshake.LaneControl {
@@ -120,10 +121,23 @@
 	}
 }
 
-// remove closes a session and deletes it from the pool. A session to the same
+// remove deletes a session from the pool and closes it. A session to the same
 // peer that has replaced it stays.
 func (p *Pool) remove(ended *session) {
+	p.forget(ended)
 	ended.close()
+}
+
+// removeInBackground is remove for callers that must not wait until a secured
+// connection is closed.
+func (p *Pool) removeInBackground(ended *session) {
+	p.forget(ended)
+	if !p.goroutines.Go(ended.close) {
+		ended.close()
+	}
+}
+
+func (p *Pool) forget(ended *session) {
 	p.sessions.Update(ended.key, func(current *session, present bool) (*session, bool) {
 		return current, present && current != ended
 	})
--- a/transport/peering/stream.go
+++ b/transport/peering/stream.go
@@ -14,6 +14,8 @@
 // been received and then fail, and its writes fail.
 type stream struct {
 	*yamux.Stream
+	// streams holds the stream while it is in use.
+	streams *streamSet
 
 	mu sync.Mutex
 	// interrupted is true when the session has ended. The deadlines are then in
@@ -29,6 +31,14 @@
 	_ = s.Stream.SetDeadline(interrupted)
 }
 
+// dispose closes a stream that is no longer in use. It waits until the peer reads,
+// at most for writeTimeout.
+func (s *stream) dispose() {
+	s.streams.remove(s)
+	// An error means that the session has ended.
+	_ = s.Stream.Close()
+}
+
 // SetDeadline sets the deadlines of reads and writes.
 func (s *stream) SetDeadline(deadline time.Time) error {
 	return s.setUnlessInterrupted(s.Stream.SetDeadline, deadline)
@@ -65,7 +75,7 @@
 
 // add returns a stream that is interrupted when the session ends.
 func (s *streamSet) add(opened *yamux.Stream) *stream {
-	added := &stream{Stream: opened}
+	added := &stream{Stream: opened, streams: s}
 	s.mu.Lock()
 	ended := s.interrupted
 	if !ended {
