Leave repeats of idempotent calls to the retry policy

Cause: http.Transport sends a request with a safe method again when a kept connection breaks. The guard's delivery allowed that for idempotent calls, without a limit; the retry policy, which keeps the budget, never heard of it.

Change: a delivery permits writes on one connection only, for every call. A broken connection ends in a refusal, and only the retry policy sends the call again: counted, charged, and with the time that is left then. A connection that took no byte is still replaced, so a call is not lost to one that was closed before.

--- a/transport/guard/delivery.go
+++ b/transport/guard/delivery.go
@@ -27,13 +27,11 @@
 )
 
 // delivery tracks whether bytes of one call were written to a backend server.
-// http.Transport retries some requests when a keep-alive connection breaks.
-// Unless the call is repeatable, its delivery restricts it to one connection, so
-// that it is certain whether any bytes were written.
+// http.Transport retries some requests when a keep-alive connection breaks. A
+// delivery restricts its call to one connection, so that it is certain whether any
+// bytes were written, and that only the retry policy sends a call again.
 type delivery struct {
 	phase atomic.Int32
-	// repeatable allows the call to be written to several connections.
-	repeatable bool
 	// conn is the connection that was last assigned to the call.
 	conn atomic.Pointer[backendConn]
 	// beforeSend is called before the first byte is written.
@@ -45,7 +43,7 @@
 // http.Transport for the call to d.
 func (d *delivery) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if d.phase.Load() != deliveryPending && !d.repeatable {
+		if d.phase.Load() != deliveryPending {
 			d.cancel(errDeliveryEnded)
 		}
 		if conn, ok := info.Conn.(*backendConn); ok {
@@ -85,25 +83,18 @@
 	return d.phase.CompareAndSwap(deliveryPending, deliveryEnded)
 }
 
-// beginWrite reports whether the call may write to another connection; an error
-// means that it must not.
+// beginWrite must be called before the first write of the call to a connection. An
+// error means that the call must not be written there.
 func (d *delivery) beginWrite() error {
-	if d.phase.CompareAndSwap(deliveryPending, deliverySent) {
-		d.beforeSend()
-		return nil
+	if !d.phase.CompareAndSwap(deliveryPending, deliverySent) {
+		return errDeliveryEnded
 	}
-	if d.repeatable && d.phase.Load() == deliverySent {
-		return nil
-	}
-	return errDeliveryEnded
+	d.beforeSend()
+	return nil
 }
 
 // undoBegin reverts beginWrite after a first write that wrote no byte.
-func (d *delivery) undoBegin() {
-	if !d.repeatable {
-		d.phase.CompareAndSwap(deliverySent, deliveryPending)
-	}
-}
+func (d *delivery) undoBegin() { d.phase.CompareAndSwap(deliverySent, deliveryPending) }
 
 // backendConn is a connection to a backend server. It carries one call at a
 // time and writes only what the delivery of that call permits.
--- a/transport/guard/fixture_test.go
+++ b/transport/guard/fixture_test.go
@@ -88,7 +88,22 @@
 	return f.doWith(f.t.Context(), method, key, nil)
 }
 
+// doIdempotent runs a call that can safely run more than once.
+func (f *fixture) doIdempotent(method string) (*callstream.Reply, *state.Refusal) {
+	head := newHead(method, "")
+	head.Idempotent = true
+	return f.doHead(f.t.Context(), head, nil)
+}
+
 func (f *fixture) doWith(ctx context.Context, method, key string, body io.Reader) (*callstream.Reply, *state.Refusal) {
+	head := newHead(method, key)
+	if body != nil {
+		head.ContentLength = -1
+	}
+	return f.doHead(ctx, head, body)
+}
+
+func newHead(method, key string) call.Head {
 	head := call.Head{
 		ID: "id-1", Ticket: 1, BackendServer: "desk-0", Class: state.ClassHigh,
 		Deadline: time.Now().Add(time.Second), IdempotencyKey: key,
@@ -97,9 +112,10 @@
 	if key != "" {
 		head.Fields = []call.Field{{Name: "Idempotency-Key", Value: key}}
 	}
-	if body != nil {
-		head.ContentLength = -1
-	}
+	return head
+}
+
+func (f *fixture) doHead(ctx context.Context, head call.Head, body io.Reader) (*callstream.Reply, *state.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, head.Deadline)
 	f.t.Cleanup(cancel)
 	return f.guard.Handle(ctx, head, body)
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -58,6 +58,27 @@
 	}
 }
 
+// Guards against repeats by http.Transport, which no retry budget counted and no limit
+// on attempts bounded.
+func TestIdempotentCallIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions} {
+		t.Run(method, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				fixture := newFixture(t, 10)
+				var received atomic.Int32
+				fixture.serve(answerFirstRequest(&received))
+				fixture.finish(fixture.doIdempotent(http.MethodGet))
+				_, refusal := fixture.doIdempotent(method)
+				require.NotNil(t, refusal)
+				require.Equal(t, state.RefusedBackendServerFailed, refusal.Reason)
+				require.Equal(t, state.OutcomeMayHaveRun, refusal.Outcome)
+				require.True(t, refusal.ReachedBackendServer)
+				require.EqualValues(t, 2, received.Load())
+			})
+		})
+	}
+}
+
 func TestOutcomeNotRunMeansNothingWasSent(t *testing.T) {
 	t.Run("backend server does not listen", func(t *testing.T) {
 		virtualtime.Test(t, func(t *testing.T) {
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -54,7 +54,7 @@
 	release func(admission.Result),
 ) (*callstream.Reply, *state.Refusal) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	delivery := &delivery{repeatable: head.Idempotent, cancel: cancel, beforeSend: beforeSend}
+	delivery := &delivery{cancel: cancel, beforeSend: beforeSend}
 	request, err := g.newRequest(httptrace.WithClientTrace(ctx, delivery.trace()), head, body)
 	if err != nil {
 		cancel(err)
