--- a/transport/peering/calls.go
+++ b/transport/peering/calls.go
@@ -47,7 +47,7 @@
 func (c *callStream) Close() error {
 	c.closeOnce.Do(func() {
 		c.session.endCall()
-		go c.stream.dispose()
+		go c.dispose()
 	})
 	return nil
 }
--- a/transport/peering/stream.go
+++ b/transport/peering/stream.go
@@ -36,7 +36,7 @@
 func (s *stream) dispose() {
 	s.streams.remove(s)
 	// An error means that the session has ended.
-	_ = s.Stream.Close()
+	_ = s.Close()
 }
 
 // SetDeadline sets the deadlines of reads and writes.
