Don't relay a truncated answer as complete

Three cells of the fault matrix saw an answer that ended as complete with an incorrect body. copyChunks now reports a truncated body as an error. The new test failed before; the three cells pass (call answering and call queued with a herd that dies, call answering with a process that dies).

--- a/transport/callstream/body.go
+++ b/transport/callstream/body.go
@@ -20,7 +20,7 @@
 }}
 
 // copyChunks passes a body to write in chunks and returns the number of bytes
-// written.
+// written. A body that was truncated is an error, also when it ended with io.EOF.
 func copyChunks(body io.Reader, write func(chunk []byte) error) (uint64, error) {
 	pooled := chunkPool.Get().(*[]byte)
 	defer chunkPool.Put(pooled)
@@ -34,7 +34,7 @@
 			}
 			sent += uint64(n)
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !errors.Is(err, ErrTruncated) {
 			return sent, nil
 		}
 		if err != nil {
