Count attempts that were lost between two nodes

Cause: a call whose stream is lost after it was sent is refused with "may have run" but without ReachedBackendServer, and the retry policy counts and charges only attempts with that field. Each lost attempt was free.

Evidence: in a fleet whose connections are reset every 8 ms, calls ran on three backend servers where two are allowed, and the policy repeated a lost call with an empty budget. The three tests failed before.

Change: a call that may have run counts as one that may have reached its backend server. state.MayHaveRun sets the field, a refusal keeps it when the context of its call has ended, and decoding completes refusals of nodes that don't send it. The field is that of the single attempt, so one that was not run after one that may have run is not counted again.

--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -159,6 +159,21 @@
 	require.Equal(t, retry.ActionReturnRefusal, newPolicy(retry.BudgetConfig{}).Decide(now, head, refusal, 2).Action)
 }
 
+// Guards against free repeats of calls that were lost with the connection between two
+// nodes, after they may have reached a backend server.
+func TestLostCallCountsAsReachedAndIsCharged(t *testing.T) {
+	lost := state.MayHaveRun(state.RefusedUnreachable, "")
+	newPolicy := func(capacity float64) *retry.Policy {
+		budget := retry.NewBudget(retry.BudgetConfig{Capacity: capacity})
+		return retry.NewPolicy(retry.Config{ChargeReachedOnly: true}, budget, rand.New(rand.NewPCG(1, 2)))
+	}
+	head := call.Head{Idempotent: true, Deadline: now.Add(time.Second), MaxReachedAttempts: 2}
+	require.Equal(t, retry.ActionRetryOtherServer, newPolicy(1).Decide(now, head, lost, 1).Action)
+	require.Equal(t, retry.ActionReturnRefusal, newPolicy(0.5).Decide(now, head, lost, 1).Action, "the budget is empty")
+	head.ReachedAttempts = 1
+	require.Equal(t, retry.ActionReturnRefusal, newPolicy(1).Decide(now, head, lost, 2).Action, "two attempts were lost")
+}
+
 // TestSharedBudgetLimitsAllNodesTogether lets each of several nodes exhaust its
 // budget. The total must stay within the share of all calls plus the shared
 // capacity.
--- a/protocol/callwire/fuzz_test.go
+++ b/protocol/callwire/fuzz_test.go
@@ -77,7 +77,8 @@
 }
 
 // FuzzDecodeRefusal checks that no outcome other than "not run" is decoded as
-// "not run", and that "done" is never decoded.
+// "not run", that "done" is never decoded, and that a call that may have run counts as
+// having reached its backend server.
 func FuzzDecodeRefusal(f *testing.F) {
 	f.Add(uint32(state.OutcomeNotRun), uint32(1), int64(0))
 	f.Add(uint32(state.OutcomeDone), uint32(99), int64(-1))
@@ -87,6 +88,7 @@
 		})
 		require.Equal(t, outcome == uint32(state.OutcomeNotRun), refusal.Outcome == state.OutcomeNotRun)
 		require.NotEqual(t, state.OutcomeDone, refusal.Outcome)
+		require.Equal(t, refusal.Outcome == state.OutcomeMayHaveRun, refusal.ReachedBackendServer)
 		require.NotEmpty(t, refusal.Reason.String())
 	})
 }
--- a/protocol/callwire/refusal.go
+++ b/protocol/callwire/refusal.go
@@ -25,7 +25,8 @@
 }
 
 // DecodeRefusal returns a refusal and its load hint. Any outcome other than
-// "not run" is decoded as "may have run", the safe assumption.
+// "not run" is decoded as "may have run", the safe assumption, and a call that may
+// have run as one that has reached its backend server.
 func DecodeRefusal(message *wirepb.Refusal) (*state.Refusal, call.LoadHint) {
 	outcome := state.OutcomeMayHaveRun
 	if message.GetOutcome() == uint32(state.OutcomeNotRun) {
@@ -36,7 +37,7 @@
 		Outcome:              outcome,
 		Detail:               message.GetDetail(),
 		RetryAfter:           time.Duration(message.GetRetryAfterNanos()),
-		ReachedBackendServer: message.GetArrived(),
+		ReachedBackendServer: message.GetArrived() || outcome == state.OutcomeMayHaveRun,
 	}
 	return refusal, decodeLoad(message.GetLoad())
 }
--- a/state/refusal.go
+++ b/state/refusal.go
@@ -125,7 +125,7 @@
 	// unknown.
 	RetryAfter time.Duration
 	// ReachedBackendServer is true if bytes of the call have reached the backend
-	// server, even if it did not run the call.
+	// server or may have, even if it did not run the call.
 	ReachedBackendServer bool
 }
 
@@ -139,7 +139,8 @@
 	return &Refusal{Reason: reason, Outcome: OutcomeNotRun, Detail: detail}
 }
 
-// MayHaveRun returns the refusal of a call that a backend server may have run.
+// MayHaveRun returns the refusal of a call that a backend server may have run. As far
+// as is known, the call has reached it.
 func MayHaveRun(reason RefusalReason, detail string) *Refusal {
-	return &Refusal{Reason: reason, Outcome: OutcomeMayHaveRun, Detail: detail}
+	return &Refusal{Reason: reason, Outcome: OutcomeMayHaveRun, Detail: detail, ReachedBackendServer: true}
 }
--- a/transport/callstream/client.go
+++ b/transport/callstream/client.go
@@ -42,17 +42,22 @@
 		client.close()
 	}
 	if result.Refusal != nil && ctx.Err() != nil {
-		result.Refusal = contextRefusal(ctx.Err(), result.Refusal.Outcome)
+		result.Refusal = contextRefusal(ctx.Err(), result.Refusal)
 	}
 	return result
 }
 
-func contextRefusal(err error, outcome state.Outcome) *state.Refusal {
-	reason := state.RefusedCanceled
+// contextRefusal returns the refusal of a call whose context ended while its stream
+// was lost.
+func contextRefusal(err error, lost *state.Refusal) *state.Refusal {
+	refusal := *lost
+	refusal.Reason = state.RefusedCanceled
 	if errors.Is(err, context.DeadlineExceeded) {
-		reason = state.RefusedDeadline
+		refusal.Reason = state.RefusedDeadline
 	}
-	return &state.Refusal{Reason: reason, Outcome: outcome, Detail: "the call ended before its answer came"}
+	refusal.Detail = "the call ended before its answer came"
+	refusal.RetryAfter = 0
+	return &refusal
 }
 
 type client struct {
--- a/transport/callstream/confirm_test.go
+++ b/transport/callstream/confirm_test.go
@@ -66,6 +66,7 @@
 			return confirmErr == nil && err == nil && string(got) == "notice"
 		})
 		require.Equal(t, state.OutcomeMayHaveRun, result.Refusal.Outcome)
+		require.True(t, result.Refusal.ReachedBackendServer)
 	})
 }
 
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -72,9 +72,7 @@
 	if response.StatusCode < http.StatusOK {
 		_ = response.Body.Close()
 		cancel(nil)
-		refusal := state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server changed the protocol")
-		refusal.ReachedBackendServer = true
-		return nil, refusal
+		return nil, state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server changed the protocol")
 	}
 	assessment := g.mapper.Classify(head, response)
 	g.applyReport(assessment.Report)
@@ -147,16 +145,9 @@
 // failureRefusal returns the refusal for a call without a reply. The context
 // distinguishes canceled and expired calls from a failed backend server.
 func failureRefusal(ctx context.Context, notRun bool) *state.Refusal {
-	refusal := &state.Refusal{
-		Reason:               state.RefusedBackendServerFailed,
-		Outcome:              state.OutcomeMayHaveRun,
-		Detail:               "the backend server failed while it had the call",
-		ReachedBackendServer: true,
-	}
+	refusal := state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server failed while it had the call")
 	if notRun {
-		refusal.ReachedBackendServer = false
-		refusal.Outcome = state.OutcomeNotRun
-		refusal.Detail = "the backend server can't be reached"
+		refusal = state.NotRun(state.RefusedBackendServerFailed, "the backend server can't be reached")
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
