Refuse or retry calls whose answer is cut before its first part

Cause: guard and entry node took a call for answered once the head had come, so the retry policy was not asked, and the only way left to report an error of the body was to abort the caller's connection, though nothing had been written to it.

Change: Reply.Hold reads the start of a reply before any part is passed on: all of a short one, the first part of any other. An answer that is cut until then is a refusal with "may have run". Callers wait no longer for it, as the head was written to them together with the first part before.

--- a/transport/callstream/callstream.go
+++ b/transport/callstream/callstream.go
@@ -68,16 +68,6 @@
 	return n, err
 }
 
-// Reply is the response of a backend server to a call.
-type Reply struct {
-	Head call.ReplyHead
-	// Body returns io.EOF only if it is complete. It must be closed.
-	Body io.ReadCloser
-	// Trailers returns the trailers. It is valid after Body has returned
-	// io.EOF.
-	Trailers func() []call.Field
-}
-
 // StartConfirmer is implemented by bodies of calls that must not run before the
 // entry node has confirmed the start.
 type StartConfirmer interface {
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -1,7 +1,6 @@
 package guard
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -96,34 +95,17 @@
 		cancel(nil)
 		release(result)
 	})
-	return bufferShortReply(ctx, reply)
+	return holdReply(ctx, reply)
 }
 
-// maxBufferedBytes is the length up to which replies are buffered completely
-// before the entry node receives any part of them, so that a call with a
-// truncated reply can be retried.
-const maxBufferedBytes = 64 << 10
-
-// bufferedBody is a reply body that was read completely. The slot stays
-// occupied until it is closed.
-type bufferedBody struct {
-	io.Reader
-	io.Closer
-}
-
-// bufferShortReply reads a short reply completely.
-func bufferShortReply(ctx context.Context, reply *callstream.Reply) (*callstream.Reply, *state.Refusal) {
-	if length := reply.Head.ContentLength; length < 0 || length > maxBufferedBytes {
-		return reply, nil
-	}
-	body, err := io.ReadAll(reply.Body)
-	if err != nil {
+// holdReply reads the start of a reply before the entry node receives any part.
+func holdReply(ctx context.Context, reply *callstream.Reply) (*callstream.Reply, *state.Refusal) {
+	if err := reply.Hold(); err != nil {
 		refusal := failureRefusal(ctx, false)
 		// The error of the truncated body takes precedence.
 		_ = reply.Body.Close()
 		return nil, refusal
 	}
-	reply.Body = bufferedBody{Reader: bytes.NewReader(body), Closer: reply.Body}
 	return reply, nil
 }
 
