Refuse calls that a leaving node would break off

Cause: a leaving node takes callers for up to about 3.9 s after SIGTERM, as its backend server may make calls of its own. It shortened the deadline of every call to its last reply, 5.2 s after SIGTERM, and broke off there what still ran.

Change: coordination/drain holds the schedule of a leaving node. From the moment at which waiting calls are withdrawn, a call is taken only if its own deadline comes before the last reply, also when its body arrived slowly. The others are refused at once as not run, with a time to retry.

--- /dev/null
+++ b/coordination/drain/drain.go
@@ -0,0 +1,74 @@
+// Package drain decides which calls a leaving node still takes, and by when it ends
+// them.
+package drain
+
+import (
+	"time"
+
+	"github.com/wasabiport/wasabiport/state"
+)
+
+const (
+	// replyMargin is reserved before the end of the node for writing the last
+	// responses.
+	replyMargin = 500 * time.Millisecond
+	// withdrawFraction is the fraction of the time until ReplyBy after which waiting
+	// calls are withdrawn. The rest is left for running calls.
+	withdrawFraction = 0.5
+	// retryAfter is the retry delay sent with calls that a leaving node withdraws or
+	// does not take. By then the caller has switched to another node, or this node
+	// has restarted.
+	retryAfter = time.Second
+)
+
+// Schedule holds the times at which a leaving node stops its work.
+type Schedule struct {
+	// WithdrawAt is the time at which calls that wait for a slot are withdrawn. From
+	// then on the node takes no call that could be running at ReplyBy.
+	WithdrawAt time.Time
+	// ReplyBy is the time at which calls that are still running are canceled. The
+	// zero time means that no call is canceled.
+	ReplyBy time.Time
+}
+
+// NewSchedule returns the schedule of a node that begins to leave now and has ended
+// at a deadline. Without a deadline, which is the zero time, no call is interrupted.
+func NewSchedule(now, deadline time.Time) Schedule {
+	if deadline.IsZero() {
+		return Schedule{}
+	}
+	replyBy := deadline.Add(-replyMargin)
+	waiting := time.Duration(withdrawFraction * float64(replyBy.Sub(now)))
+	return Schedule{WithdrawAt: now.Add(waiting), ReplyBy: replyBy}
+}
+
+// Bounded reports whether calls are interrupted.
+func (s Schedule) Bounded() bool { return !s.ReplyBy.IsZero() }
+
+// Admit returns nil if the node takes a call with a deadline. Otherwise it returns the
+// refusal: the call could still be running when the node ends, and would be broken
+// off then. Early in the drain such calls are taken, as most of them end in time.
+func (s Schedule) Admit(now, deadline time.Time) *state.Refusal {
+	if !s.Bounded() || now.Before(s.WithdrawAt) || !deadline.After(s.ReplyBy) {
+		return nil
+	}
+	refusal := state.NotRun(state.RefusedDraining, "the node is leaving and may end before the call does")
+	refusal.RetryAfter = retryAfter
+	return refusal
+}
+
+// Cap limits the deadline of a call to ReplyBy.
+func (s Schedule) Cap(deadline time.Time) time.Time {
+	if s.Bounded() && s.ReplyBy.Before(deadline) {
+		return s.ReplyBy
+	}
+	return deadline
+}
+
+// Withdrawn returns the refusal of a call that the node has withdrawn, with the time
+// after which the caller may retry it.
+func Withdrawn(refusal *state.Refusal) *state.Refusal {
+	delayed := *refusal
+	delayed.RetryAfter = retryAfter
+	return &delayed
+}
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/drain"
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/coordination/picking"
 	"github.com/wasabiport/wasabiport/coordination/retry"
@@ -114,20 +115,13 @@
 	return h.policies.Retries.Decide(time.Now(), head, refusal, attempts)
 }
 
-// drainRetryAfter is the retry delay sent with calls that a leaving node
-// withdraws. By then the caller has switched to another node, or this node has
-// restarted.
-const drainRetryAfter = time.Second
-
 // withRetryAfter adds a retry delay to the refusal of a call that was withdrawn
 // because this node is leaving.
 func (h *Handler) withRetryAfter(refusal *state.Refusal) *state.Refusal {
 	if refusal.Reason != state.RefusedCanceled || h.queueCtx.Err() == nil {
 		return refusal
 	}
-	delayed := *refusal
-	delayed.RetryAfter = drainRetryAfter
-	return &delayed
+	return drain.Withdrawn(refusal)
 }
 
 // finalRefusal returns the refusal that the caller receives when no further
--- a/transport/entry/drain.go
+++ b/transport/entry/drain.go
@@ -4,38 +4,39 @@
 	"context"
 	"net/http"
 	"time"
-)
-
-// replyMargin is reserved before the deadline of Drain for writing the last
-// responses.
-const replyMargin = 500 * time.Millisecond
 
-// withdrawFraction is the fraction of the time limit after which a leaving node
-// withdraws waiting calls. The rest is left for running calls.
-const withdrawFraction = 0.5
+	"github.com/wasabiport/wasabiport/coordination/drain"
+	"github.com/wasabiport/wasabiport/state"
+)
 
 // Drain makes every response from now on the last one of its HTTP/1 connection.
 // Calls that still wait for a slot after half of the time until the deadline of
-// ctx are withdrawn, and calls without a response shortly before the deadline
-// are refused. Without a deadline, calls are not interrupted.
+// ctx are withdrawn, and new ones that could still be running at the end are
+// refused from then on. Calls without a response shortly before the deadline are
+// canceled. Without a deadline, calls are not interrupted.
 func (h *Handler) Drain(ctx context.Context) {
-	var replyDeadline time.Time
-	if deadline, bounded := ctx.Deadline(); bounded {
-		replyDeadline = deadline.Add(-replyMargin)
+	now := time.Now()
+	deadline, _ := ctx.Deadline()
+	schedule := drain.NewSchedule(now, deadline)
+	if h.draining.Swap(&schedule) == nil && schedule.Bounded() {
+		time.AfterFunc(schedule.WithdrawAt.Sub(now), h.withdrawWaiting)
+		time.AfterFunc(schedule.ReplyBy.Sub(now), h.cancelCalls)
 	}
-	if h.drainDeadline.Swap(&replyDeadline) == nil && !replyDeadline.IsZero() {
-		remaining := time.Until(replyDeadline)
-		time.AfterFunc(time.Duration(withdrawFraction*float64(remaining)), h.withdrawWaiting)
-		time.AfterFunc(remaining, h.cancelCalls)
+}
+
+// admit returns the refusal of a call that this node is too late to take, or nil.
+func (h *Handler) admit(deadline time.Time) *state.Refusal {
+	if schedule := h.draining.Load(); schedule != nil {
+		return schedule.Admit(time.Now(), deadline)
 	}
+	return nil
 }
 
-// capDeadline limits the deadline of a new call to the drain deadline of this
-// node, if it is leaving.
+// capDeadline limits the deadline of a call to the end of this node, if it is
+// leaving.
 func (h *Handler) capDeadline(deadline time.Time) time.Time {
-	limit := h.drainDeadline.Load()
-	if limit != nil && !limit.IsZero() && limit.Before(deadline) {
-		return *limit
+	if schedule := h.draining.Load(); schedule != nil {
+		return schedule.Cap(deadline)
 	}
 	return deadline
 }
@@ -43,7 +44,7 @@
 // closeAfterReply asks for the HTTP/1 connection to be closed after the
 // response when the node is leaving.
 func (h *Handler) closeAfterReply(w http.ResponseWriter, r *http.Request) {
-	if h.drainDeadline.Load() != nil && r.ProtoMajor == 1 {
+	if h.draining.Load() != nil && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/callerlimit"
 	"github.com/wasabiport/wasabiport/coordination/clientretry"
+	"github.com/wasabiport/wasabiport/coordination/drain"
 	"github.com/wasabiport/wasabiport/coordination/picking"
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/coordination/routing"
@@ -132,14 +133,13 @@
 	dialer     Dialer
 	localGuard callstream.Handler
 	observer   Observer
-	// drainDeadline is nil until Drain is called. Then it is the time by which
-	// all calls must have been answered, or the zero time without a limit.
-	drainDeadline atomic.Pointer[time.Time]
+	// draining is nil until Drain is called.
+	draining atomic.Pointer[drain.Schedule]
 	// queueCtx ends when a leaving node withdraws the calls that still wait for
 	// a slot.
 	queueCtx        context.Context
 	withdrawWaiting context.CancelFunc
-	// callsCtx ends at the drain deadline. All calls are canceled then.
+	// callsCtx ends shortly before a leaving node. All calls are canceled then.
 	callsCtx    context.Context
 	cancelCalls context.CancelFunc
 }
@@ -247,14 +247,18 @@
 	}
 	defer h.policies.CallerLimits.End(head.Caller)
 
-	head.Deadline = h.capDeadline(head.Deadline)
+	if refusal := h.admit(head.Deadline); refusal != nil {
+		return refusal
+	}
+	ownDeadline := head.Deadline
+	head.Deadline = h.capDeadline(ownDeadline)
 	remote, cancel := context.WithDeadline(r.Context(), head.Deadline.Add(guardReplyGrace))
 	defer cancel()
 	defer context.AfterFunc(h.callsCtx, cancel)()
 	local, cancelLocal := context.WithDeadline(remote, head.Deadline)
 	defer cancelLocal()
 	controller := http.NewResponseController(w)
-	body, refusal := h.readBody(controller, r, head.Deadline)
+	body, refusal := h.receiveBody(controller, r, ownDeadline)
 	if refusal != nil {
 		return refusal
 	}
--- a/transport/entry/stream.go
+++ b/transport/entry/stream.go
@@ -28,6 +28,24 @@
 	callstream.Body
 }
 
+// receiveBody is readBody for a call with a deadline of its own. It refuses the call if
+// this node has become too late to take it while its body arrived.
+func (h *Handler) receiveBody(
+	controller *http.ResponseController,
+	r *http.Request,
+	ownDeadline time.Time,
+) (*requestBody, *state.Refusal) {
+	body, refusal := h.readBody(controller, r, h.capDeadline(ownDeadline))
+	tooLate := h.admit(ownDeadline)
+	if tooLate == nil {
+		return body, refusal
+	}
+	if refusal == nil {
+		body.abortRead(controller)
+	}
+	return nil, tooLate
+}
+
 // readBody buffers the prefix of a request body. The whole body must arrive
 // before the deadline.
 func (h *Handler) readBody(
