Notice callers that leave while their uploads wait

Cause: of a body, 64 KiB were buffered, and the rest was read only when the guard had given the call a slot. The HTTP server notices the end of a connection only when the whole body has been read.

Change: while a call waits, up to 256 KiB more are read. A body that ends within them lets the HTTP server watch the connection; one that is cut ends its call. A caller that leaves more than that unread is still not noticed.

--- a/transport/callstream/callstream.go
+++ b/transport/callstream/callstream.go
@@ -37,8 +37,7 @@
 	// is read only after the guard has assigned a slot to the call.
 	Rest io.Reader
 
-	consumed  atomic.Bool
-	fullyRead atomic.Bool
+	consumed atomic.Bool
 }
 
 // Reader returns a reader of the whole body.
@@ -53,19 +52,12 @@
 // can't be sent again.
 func (b *Body) Consumed() bool { return b.consumed.Load() }
 
-// FullyRead reports whether Rest has been read to its end.
-func (b *Body) FullyRead() bool { return b.fullyRead.Load() }
-
-// restReader reads the rest of a body and records its progress.
+// restReader reads the rest of a body and records that it was read.
 type restReader struct{ body *Body }
 
 func (r restReader) Read(p []byte) (int, error) {
 	r.body.consumed.Store(true)
-	n, err := r.body.Rest.Read(p)
-	if errors.Is(err, io.EOF) {
-		r.body.fullyRead.Store(true)
-	}
-	return n, err
+	return r.body.Rest.Read(p)
 }
 
 // StartConfirmer is implemented by bodies of calls that must not run before the
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -258,7 +258,7 @@
 	local, cancelLocal := context.WithDeadline(remote, head.Deadline)
 	defer cancelLocal()
 	controller := http.NewResponseController(w)
-	body, refusal := h.receiveBody(controller, r, ownDeadline)
+	body, refusal := h.receiveBody(controller, r, ownDeadline, cancel)
 	if refusal != nil {
 		return refusal
 	}
--- a/transport/entry/stream.go
+++ b/transport/entry/stream.go
@@ -26,6 +26,8 @@
 // requestBody is the body of a caller's request.
 type requestBody struct {
 	callstream.Body
+	// ahead is nil if Prefix is the whole body.
+	ahead *readAhead
 }
 
 // receiveBody is readBody for a call with a deadline of its own. It refuses the call if
@@ -34,8 +36,9 @@
 	controller *http.ResponseController,
 	r *http.Request,
 	ownDeadline time.Time,
+	cancel func(),
 ) (*requestBody, *state.Refusal) {
-	body, refusal := h.readBody(controller, r, h.capDeadline(ownDeadline))
+	body, refusal := h.readBody(controller, r, h.capDeadline(ownDeadline), cancel)
 	tooLate := h.admit(ownDeadline)
 	if tooLate == nil {
 		return body, refusal
@@ -46,12 +49,14 @@
 	return nil, tooLate
 }
 
-// readBody buffers the prefix of a request body. The whole body must arrive
-// before the deadline.
+// readBody buffers the prefix of a request body, and reads ahead in the rest. The
+// whole body must arrive before the deadline. cancel is called when the caller leaves
+// before that.
 func (h *Handler) readBody(
 	controller *http.ResponseController,
 	r *http.Request,
 	deadline time.Time,
+	cancel func(),
 ) (*requestBody, *state.Refusal) {
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 		return &requestBody{}, nil
@@ -68,7 +73,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		_ = controller.SetReadDeadline(time.Time{})
-		return &requestBody{callstream.Body{Prefix: prefix.Bytes()}}, nil
+		return &requestBody{Body: callstream.Body{Prefix: prefix.Bytes()}}, nil
 	case errors.As(err, &overLimit):
 		return nil, bodyTooLarge()
 	case err != nil:
@@ -77,13 +82,14 @@
 	// The response may start before the body has ended. HTTP/2 is always
 	// full-duplex and needs no call, so the error is ignored.
 	_ = controller.EnableFullDuplex()
-	return &requestBody{callstream.Body{Prefix: prefix.Bytes(), Rest: limited}}, nil
+	ahead := newReadAhead(limited, cancel)
+	return &requestBody{Body: callstream.Body{Prefix: prefix.Bytes(), Rest: ahead}, ahead: ahead}, nil
 }
 
 // abortRead ends a pending read of a body that the caller has not sent
 // completely.
 func (b *requestBody) abortRead(controller *http.ResponseController) {
-	if b.Rest != nil && !b.FullyRead() {
+	if b.ahead != nil && b.ahead.drop() {
 		_ = controller.SetReadDeadline(time.Unix(1, 0))
 	}
 }
