Read the start of a reply where its stream is served

Do returns a reply only when its start has arrived, so that the entry node needs no code for it, and the reasons of a call whose context has ended are derived in one place.

--- a/transport/callstream/client.go
+++ b/transport/callstream/client.go
@@ -23,8 +23,9 @@
 	Load    call.LoadHint
 }
 
-// Do sends one call over a stream and returns the result. It closes the stream
-// when it returns a refusal; otherwise closing the body of the reply does. When
+// Do sends one call over a stream and returns the result. A reply that is cut before
+// its start has arrived is a refusal, see Reply.Hold. Do closes the stream when it
+// returns a refusal; otherwise closing the body of the reply does. When
 // ctx ends, the stream is closed and the guard cancels the call. When queueCtx
 // ends, the guard drops the call unless it already has a slot.
 func Do(ctx, queueCtx context.Context, stream net.Conn, head call.Head, body *Body) Result {
@@ -37,7 +38,7 @@
 		headWritten: make(chan struct{}),
 	}
 	client.stopAbort = context.AfterFunc(ctx, client.abort)
-	result := client.do(ctx, body)
+	result := hold(client.do(ctx, body))
 	if result.Reply == nil {
 		client.close()
 	}
@@ -47,6 +48,20 @@
 	return result
 }
 
+// hold reads the start of the reply of a result.
+func hold(result Result) Result {
+	if result.Reply == nil {
+		return result
+	}
+	if err := result.Reply.Hold(); err == nil {
+		return result
+	}
+	// The error of the truncated body takes precedence.
+	_ = result.Reply.Body.Close()
+	refusal := state.MayHaveRun(state.RefusedBackendServerFailed, "the answer was cut before any of it was passed on")
+	return Result{Refusal: refusal, Load: result.Load}
+}
+
 // contextRefusal returns the refusal of a call whose context ended while its stream
 // was lost.
 func contextRefusal(err error, lost *state.Refusal) *state.Refusal {
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/drain"
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
@@ -155,28 +153,7 @@
 	if err != nil {
 		return callstream.Result{Refusal: state.NotRun(state.RefusedUnreachable, "the guard can't be reached")}
 	}
-	return holdReply(contexts.remote, callstream.Do(contexts.remote, h.queueCtx, stream, head, body))
-}
-
-// holdReply reads the start of a reply before the caller receives any part. A reply
-// that is cut before that is a refusal, which the retry policy may react to.
-func holdReply(ctx context.Context, result callstream.Result) callstream.Result {
-	if result.Reply == nil {
-		return result
-	}
-	if err := result.Reply.Hold(); err == nil {
-		return result
-	}
-	// The error of the truncated body takes precedence.
-	_ = result.Reply.Body.Close()
-	refusal := state.MayHaveRun(state.RefusedBackendServerFailed, "the answer was cut before its first part")
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		refusal.Reason = state.RefusedDeadline
-	case ctx.Err() != nil:
-		refusal.Reason = state.RefusedCanceled
-	}
-	return callstream.Result{Refusal: refusal, Load: result.Load}
+	return callstream.Do(contexts.remote, h.queueCtx, stream, head, body)
 }
 
 func (h *Handler) sendLocal(ctx context.Context, head call.Head, body *callstream.Body) callstream.Result {
--- a/transport/peering/opener.go
+++ b/transport/peering/opener.go
@@ -12,8 +12,8 @@
 // session stays open, as the peer may respond again.
 var ErrUnresponsive = errors.New("the peer does not respond")
 
-// stallTimeout is how long a peer may take to accept a session or a stream before
-// it counts as unresponsive, and further calls to it fail immediately.
+// stallTimeout is how long it may take to open a stream before the peer counts as
+// unresponsive, and further calls to it fail immediately.
 const stallTimeout = 400 * time.Millisecond
 
 // opener opens the streams of a session. A multiplexer blocks when the peer reads
