--- a/transport/entry/drain.go
+++ b/transport/entry/drain.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/drain"
+	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/state"
 )
 
@@ -25,9 +27,14 @@
 }
 
 // admit returns the refusal of a call that this node is too late to take, or nil.
-func (h *Handler) admit(deadline time.Time) *state.Refusal {
-	if schedule := h.draining.Load(); schedule != nil {
-		return schedule.Admit(time.Now(), deadline)
+// ownDeadline is the deadline of the call, which may lie after the end of this node.
+func (h *Handler) admit(head call.Head, ownDeadline time.Time) *state.Refusal {
+	schedule := h.draining.Load()
+	if schedule == nil {
+		return nil
+	}
+	if refusal := schedule.Admit(time.Now(), ownDeadline); refusal != nil {
+		return retry.RefusalWithoutRecord(head, refusal)
 	}
 	return nil
 }
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -247,10 +247,10 @@
 	}
 	defer h.policies.CallerLimits.End(head.Caller)
 
-	if refusal := h.admit(head.Deadline); refusal != nil {
+	ownDeadline := head.Deadline
+	if refusal := h.admit(head, ownDeadline); refusal != nil {
 		return refusal
 	}
-	ownDeadline := head.Deadline
 	head.Deadline = h.capDeadline(ownDeadline)
 	remote, cancel := context.WithDeadline(r.Context(), head.Deadline.Add(guardReplyGrace))
 	defer cancel()
@@ -258,7 +258,7 @@
 	local, cancelLocal := context.WithDeadline(remote, head.Deadline)
 	defer cancelLocal()
 	controller := http.NewResponseController(w)
-	body, refusal := h.receiveBody(controller, r, ownDeadline, cancel)
+	body, refusal := h.receiveBody(controller, r, head, ownDeadline, cancel)
 	if refusal != nil {
 		return refusal
 	}
--- a/transport/entry/stream.go
+++ b/transport/entry/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
@@ -30,16 +31,17 @@
 	ahead *readAhead
 }
 
-// receiveBody is readBody for a call with a deadline of its own. It refuses the call if
-// this node has become too late to take it while its body arrived.
+// receiveBody is readBody within the deadline of head. It refuses the call if this node
+// has become too late to take it while its body arrived.
 func (h *Handler) receiveBody(
 	controller *http.ResponseController,
 	r *http.Request,
+	head call.Head,
 	ownDeadline time.Time,
 	cancel func(),
 ) (*requestBody, *state.Refusal) {
-	body, refusal := h.readBody(controller, r, h.capDeadline(ownDeadline), cancel)
-	tooLate := h.admit(ownDeadline)
+	body, refusal := h.readBody(controller, r, head.Deadline, cancel)
+	tooLate := h.admit(head, ownDeadline)
 	if tooLate == nil {
 		return body, refusal
 	}
