--- a/coordination/sourcereading/scheduler.go
+++ b/coordination/sourcereading/scheduler.go
@@ -12,91 +12,10 @@
 	"github.com/wasabiport/wasabiport/coordination/backoff"
 )
 
-// Config holds the settings of a Scheduler.
-type Config struct {
-	// FallbackRate is the total number of reads per second by all nodes while
-	// none of them receives recent state from peers. A larger rate helps
-	// isolated nodes sooner and puts more load on the source.
-	FallbackRate float64
-	// ExpectedHosts is the number of hosts that is assumed until the host list
-	// is available. If it is below the size of the fleet, a simultaneous start
-	// of all nodes exceeds FallbackRate.
-	ExpectedHosts int
-	// FallbackAfter is the age of the state after which a node that is not a
-	// reader reads the source itself.
-	FallbackAfter time.Duration
-	// FallbackSpread is the maximum random delay of such a read. The first node
-	// that reads confirms the state of its peers, which then need not read. 0
-	// means a time by which all nodes together keep to FallbackRate.
-	FallbackSpread time.Duration
-	// StartDelay is added to the delay of the first read, to let peers deliver the
-	// state first.
-	StartDelay time.Duration
-	// WatchPause is the pause after a watch that returned no change.
-	WatchPause time.Duration
-	// BusyPause is the pause after a watch that returned a change.
-	BusyPause time.Duration
-	// Retry sets the backoff after failed reads.
-	Retry backoff.Policy
-	// FallbackRetry sets the backoff after failed reads of a node that is not a
-	// reader and has peers. The zero value means Retry.
-	FallbackRetry backoff.Policy
-}
-
 // isolatedAge is the age up to which the state of a node without peers is recent
 // enough.
 const isolatedAge = 2 * time.Second
 
-// Answer classifies the result of a read.
-type Answer uint8
-
-// The kinds of answers.
-const (
-	// AnswerUnchanged has nothing newer.
-	AnswerUnchanged Answer = iota
-	// AnswerNewer has a newer state.
-	AnswerNewer
-	// AnswerStale has only unusable data, such as values older than requested.
-	// The next read is delayed as after a failure.
-	AnswerStale
-)
-
-// Reason is the reason for a read.
-type Reason string
-
-// The reasons for a read.
-const (
-	// ReasonStart means that the state has never been confirmed.
-	ReasonStart Reason = "start"
-	// ReasonWatch means that this node is a reader.
-	ReasonWatch Reason = "watch"
-	// ReasonFallback means that no peer has confirmed the state recently.
-	ReasonFallback Reason = "fallback"
-	// ReasonRetry means that the read before has failed.
-	ReasonRetry Reason = "retry"
-	// ReasonRecheck means that expired registrations have to be read again.
-	ReasonRecheck Reason = "recheck"
-)
-
-// Query is a read of the host list.
-type Query struct {
-	// After is the version of the list that the node has.
-	After uint64
-	// Wait is the maximum time for which the source may hold the read until there
-	// is a newer list.
-	Wait time.Duration
-	// MayBeStale allows an answer that is some seconds old.
-	MayBeStale bool
-}
-
-// Read is the time and kind of the next read.
-type Read struct {
-	At time.Time
-	// Watch asks the source to hold the read until there is a change.
-	Watch  bool
-	Reason Reason
-}
-
 // Scheduler decides when to read one kind of value. It is safe for concurrent
 // use; its state is under one lock.
 type Scheduler struct {
@@ -289,46 +208,3 @@
 	defer s.mu.Unlock()
 	return s.confirmedAt
 }
-
-// meanInterval is the mean time between two reads of one host at which all
-// hosts together read at FallbackRate.
-func (s *Scheduler) meanInterval() time.Duration {
-	hosts := s.hosts
-	if hosts == 0 {
-		hosts = s.config.ExpectedHosts
-	}
-	return time.Duration(float64(hosts) / s.config.FallbackRate * float64(time.Second))
-}
-
-// interval returns a random time between half and one and a half times the mean
-// interval.
-func (s *Scheduler) interval() time.Duration {
-	mean := s.meanInterval()
-	return mean/2 + s.randomUpTo(mean)
-}
-
-// spread returns the random delay of a read of a node whose state is too old.
-func (s *Scheduler) spread() time.Duration {
-	if s.config.FallbackSpread == 0 {
-		return s.interval()
-	}
-	return s.randomUpTo(s.config.FallbackSpread)
-}
-
-func (s *Scheduler) randomUpTo(limit time.Duration) time.Duration {
-	return time.Duration(s.random.Int64N(int64(limit) + 1))
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
