Deliver answers that have begun until a leaving node ends

What callers saw: a node cut every answer that it was passing on 0.5 s before its end (5.2 s of a grace of 6 s), though its backend server and its caller were fine. Found while looking for the cause of the late calls elsewhere.

Cause: the last reply is the time at which calls without an answer get one. The node shortened the deadlines of all calls to it, and canceled those whose answers had begun as well, to which no reply can be sent any more.

Evidence: TestLeavingNodeDeliversAnswersThatHaveBegun failed for the own and for another host (unexpected EOF); the doc comment of Drain already said that only calls without a response are canceled.

Change: deadlines are limited to the end of the node; at the last reply only calls without an answer are canceled, and bodies must have arrived by then (TestLeavingNodeRefusesCallWhoseBodyDoesNotEnd guards that, and fails if only the deadline changes).

--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -26,9 +26,12 @@
 	// WithdrawAt is the time at which calls that wait for a slot are withdrawn. From
 	// then on the node takes no call that could be running at ReplyBy.
 	WithdrawAt time.Time
-	// ReplyBy is the time at which calls that are still running are canceled. The
-	// zero time means that no call is canceled.
+	// ReplyBy is the time at which calls without an answer are canceled. The zero time
+	// means that no call is canceled.
 	ReplyBy time.Time
+	// End is the time at which the node has ended. Until then it delivers answers that
+	// have begun.
+	End time.Time
 }
 
 // NewSchedule returns the schedule of a node that begins to leave now and has ended
@@ -39,7 +42,7 @@
 	}
 	replyBy := deadline.Add(-replyMargin)
 	waiting := time.Duration(withdrawFraction * float64(replyBy.Sub(now)))
-	return Schedule{WithdrawAt: now.Add(waiting), ReplyBy: replyBy}
+	return Schedule{WithdrawAt: now.Add(waiting), ReplyBy: replyBy, End: deadline}
 }
 
 // Bounded reports whether calls are interrupted.
@@ -57,8 +60,16 @@
 	return refusal
 }
 
-// Cap limits the deadline of a call to ReplyBy.
+// Cap limits the deadline of a call to End.
 func (s Schedule) Cap(deadline time.Time) time.Time {
+	if s.Bounded() && s.End.Before(deadline) {
+		return s.End
+	}
+	return deadline
+}
+
+// CapBody limits the time by which the body of a call must have arrived to ReplyBy.
+func (s Schedule) CapBody(deadline time.Time) time.Time {
 	if s.Bounded() && s.ReplyBy.Before(deadline) {
 		return s.ReplyBy
 	}
--- a/transport/entry/drain.go
+++ b/transport/entry/drain.go
@@ -48,6 +48,14 @@
 	return deadline
 }
 
+// capBody limits the time by which a body must have arrived, if the node is leaving.
+func (h *Handler) capBody(deadline time.Time) time.Time {
+	if schedule := h.draining.Load(); schedule != nil {
+		return schedule.CapBody(deadline)
+	}
+	return deadline
+}
+
 // closeAfterReply asks for the HTTP/1 connection to be closed after the
 // response when the node is leaving.
 func (h *Handler) closeAfterReply(w http.ResponseWriter, r *http.Request) {
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -139,7 +139,8 @@
 	// a slot.
 	queueCtx        context.Context
 	withdrawWaiting context.CancelFunc
-	// callsCtx ends shortly before a leaving node. All calls are canceled then.
+	// callsCtx ends shortly before a leaving node. All calls without an answer are
+	// canceled then.
 	callsCtx    context.Context
 	cancelCalls context.CancelFunc
 }
@@ -254,7 +255,8 @@
 	head.Deadline = h.capDeadline(ownDeadline)
 	remote, cancel := context.WithDeadline(r.Context(), head.Deadline.Add(guardReplyGrace))
 	defer cancel()
-	defer context.AfterFunc(h.callsCtx, cancel)()
+	keepUntilEnd := context.AfterFunc(h.callsCtx, cancel)
+	defer keepUntilEnd()
 	local, cancelLocal := context.WithDeadline(remote, head.Deadline)
 	defer cancelLocal()
 	controller := http.NewResponseController(w)
@@ -270,6 +272,7 @@
 		h.policies.ClientRetries.RecordRefusal(time.Now(), attempt)
 		return refusal
 	}
+	keepUntilEnd()
 	// writeReply panics to make the HTTP server abort the connection; the
 	// deferred CallFinished then reports a truncated response.
 	result.Truncated = true
--- a/transport/entry/stream.go
+++ b/transport/entry/stream.go
@@ -40,7 +40,7 @@
 	ownDeadline time.Time,
 	cancel func(),
 ) (*requestBody, *state.Refusal) {
-	body, refusal := h.readBody(controller, r, head.Deadline, cancel)
+	body, refusal := h.readBody(controller, r, h.capBody(head.Deadline), cancel)
 	tooLate := h.admit(head, ownDeadline)
 	if tooLate == nil {
 		return body, refusal
