Begin no attempt of a call that a leaving node would break off

What callers saw: a call that a leaving node had taken early, and whose first attempt was refused late, was sent to another backend server and broken off there at the last reply: 502 instead of 'not run', so a call that can't be repeated was lost to its caller. Found by the review of the late calls.

Cause: only arriving calls were admitted by the schedule of the leaving node. A retry is new work as well, and was not.

Change: before a retry the schedule is asked again. As deadlines are limited to the end of the node, which is later than the last reply, the capped deadline is enough to decide, and the caller's own one is no longer passed along.

--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -100,7 +100,8 @@
 }
 
 // decide asks the retry policy what to do after a refusal. A body that a guard
-// has partly read can't be sent again, so the attempt counts as the last one.
+// has partly read can't be sent again, so the attempt counts as the last one. A
+// leaving node begins no attempt that it would break off.
 func (h *Handler) decide(
 	head call.Head,
 	refusal *state.Refusal,
@@ -110,7 +111,14 @@
 	if body.Consumed() {
 		attempts = math.MaxInt
 	}
-	return h.policies.Retries.Decide(time.Now(), head, refusal, attempts)
+	decision := h.policies.Retries.Decide(time.Now(), head, refusal, attempts)
+	if decision.Action == retry.ActionReturnRefusal {
+		return decision
+	}
+	if tooLate := h.admit(head); tooLate != nil {
+		return retry.Decision{Action: retry.ActionReturnRefusal, Refusal: retry.CombineRefusals(refusal, tooLate)}
+	}
+	return decision
 }
 
 // withRetryAfter adds a retry delay to the refusal of a call that was withdrawn
--- a/transport/entry/drain.go
+++ b/transport/entry/drain.go
@@ -27,13 +27,12 @@
 }
 
 // admit returns the refusal of a call that this node is too late to take, or nil.
-// ownDeadline is the deadline of the call, which may lie after the end of this node.
-func (h *Handler) admit(head call.Head, ownDeadline time.Time) *state.Refusal {
+func (h *Handler) admit(head call.Head) *state.Refusal {
 	schedule := h.draining.Load()
 	if schedule == nil {
 		return nil
 	}
-	if refusal := schedule.Admit(time.Now(), ownDeadline); refusal != nil {
+	if refusal := schedule.Admit(time.Now(), head.Deadline); refusal != nil {
 		return retry.RefusalWithoutRecord(head, refusal)
 	}
 	return nil
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -248,11 +248,10 @@
 	}
 	defer h.policies.CallerLimits.End(head.Caller)
 
-	ownDeadline := head.Deadline
-	if refusal := h.admit(head, ownDeadline); refusal != nil {
+	head.Deadline = h.capDeadline(head.Deadline)
+	if refusal := h.admit(head); refusal != nil {
 		return refusal
 	}
-	head.Deadline = h.capDeadline(ownDeadline)
 	remote, cancel := context.WithDeadline(r.Context(), head.Deadline.Add(guardReplyGrace))
 	defer cancel()
 	keepUntilEnd := context.AfterFunc(h.callsCtx, cancel)
@@ -260,7 +259,7 @@
 	local, cancelLocal := context.WithDeadline(remote, head.Deadline)
 	defer cancelLocal()
 	controller := http.NewResponseController(w)
-	body, refusal := h.receiveBody(controller, r, head, ownDeadline, cancel)
+	body, refusal := h.receiveBody(controller, r, head, cancel)
 	if refusal != nil {
 		return refusal
 	}
--- a/transport/entry/stream.go
+++ b/transport/entry/stream.go
@@ -37,11 +37,10 @@
 	controller *http.ResponseController,
 	r *http.Request,
 	head call.Head,
-	ownDeadline time.Time,
 	cancel func(),
 ) (*requestBody, *state.Refusal) {
 	body, refusal := h.readBody(controller, r, h.capBody(head.Deadline), cancel)
-	tooLate := h.admit(head, ownDeadline)
+	tooLate := h.admit(head)
 	if tooLate == nil {
 		return body, refusal
 	}
