Don't say 'not run' of keyed calls that a node refuses while it is not ready

What callers saw: a call with an idempotency key that had run before was refused as 'not run' by a node that was not ready, so its caller could repeat it under another key.

Cause: the refusal came before the route and did not consider that the record of the key had not been read.

Evidence: TestNodeThatIsNotReadyDoesNotAnswerForRecordsItHasNotRead got 'not-run' before.

--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -232,7 +232,9 @@
 		return refusal
 	}
 	if ready, reason := h.readiness.Ready(time.Now()); !ready {
-		return state.NotRun(state.RefusedNotReady, "the node is not ready: "+reason)
+		// The route is not known, so the call counts as not idempotent.
+		head := call.Head{IdempotencyKey: request.IdempotencyKey}
+		return retry.RefusalWithoutRecord(head, state.NotRun(state.RefusedNotReady, "the node is not ready: "+reason))
 	}
 	snapshot := h.snapshots.Load()
 	result.Ticket, result.RegistryVersion, result.Remaining = snapshot.Accepted(), snapshot.Registry().Version(), request.Remaining
