Ask for a retry only of calls that a leaving node has withdrawn

What callers saw: a call that can't be repeated, and that a leaving node broke off while its backend server had it, was refused as 'may have run' with a time at which to send it again. Found by the review of the late calls.

Cause: the delay is meant for calls that were withdrawn while they waited; it was added to every canceled call from the time of the withdrawal on.

Evidence: TestLeavingNodeDoesNotAskForARetryOfACallThatHasRun got a Retry-After of 1 s. Only calls that have not run have one now.

--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -122,9 +122,10 @@
 }
 
 // withRetryAfter adds a retry delay to the refusal of a call that was withdrawn
-// because this node is leaving.
+// because this node is leaving. A call that may have run gets none.
 func (h *Handler) withRetryAfter(refusal *state.Refusal) *state.Refusal {
-	if refusal.Reason != state.RefusedCanceled || h.queueCtx.Err() == nil {
+	withdrawn := refusal.Reason == state.RefusedCanceled && refusal.Outcome == state.OutcomeNotRun
+	if !withdrawn || h.queueCtx.Err() == nil {
 		return refusal
 	}
 	return drain.Withdrawn(refusal)
