Keep the schedule of the first Leave when a node is told to leave again

What callers saw: nothing on the users' platform, whose program calls Leave once. A program that embeds a node and calls Leave twice, the second time with more time, had calls taken by the later schedule and broken off by the timers of the earlier one. Found by the review of the late calls.

Evidence: TestSecondLeaveKeepsTheScheduleOfTheFirst got 'may-have-run' before. The first schedule is now kept as a whole.

--- a/transport/entry/drain.go
+++ b/transport/entry/drain.go
@@ -15,12 +15,13 @@
 // Calls that still wait for a slot after half of the time until the deadline of
 // ctx are withdrawn, and new ones that could still be running at the end are
 // refused from then on. Calls without a response shortly before the deadline are
-// canceled. Without a deadline, calls are not interrupted.
+// canceled. Without a deadline, calls are not interrupted. The first call of Drain
+// decides.
 func (h *Handler) Drain(ctx context.Context) {
 	now := time.Now()
 	deadline, _ := ctx.Deadline()
 	schedule := drain.NewSchedule(now, deadline)
-	if h.draining.Swap(&schedule) == nil && schedule.Bounded() {
+	if h.draining.CompareAndSwap(nil, &schedule) && schedule.Bounded() {
 		time.AfterFunc(schedule.WithdrawAt.Sub(now), h.withdrawWaiting)
 		time.AfterFunc(schedule.ReplyBy.Sub(now), h.cancelCalls)
 	}
