Record what becomes of the calls of a leaving node, and log it

The log could not tell why: node-leaving claimed that the node takes no new calls, node-stopped had an empty error, which its page explained as "every call was finished", and call-ended named a caller that went away or a deadline that passed.

Cause: calls that a leaving node ends itself are canceled like those of a caller that disconnects, and nothing counts them.

Change: coordination/drain classifies the end of each call at a leaving node and counts it, with atomic counters; the entry and the guard record arrivals and ends. node-leaving has the schedule, node-stopped the counts, call-ended and guard-refused the times since the node began to leave and the result. A call that the node broke off has its own detail; its outcome, reason and status are the same. Its line is not subject to the limits on lines, and node-stopped counts the lines that these left out. Which calls are admitted, and when they end, is unchanged. Node.Leave logs 103 and 104, for all programs.

Before the change the fields did not exist. At the last reply the status is 502 or 504, as before, by which of two timers of that instant fires first.

--- a/cmd/wasabiport/node.go
+++ b/cmd/wasabiport/node.go
@@ -58,21 +58,14 @@
 		Version:   version(),
 	})
 	<-command.Context().Done()
-	return leave(node, loaded, logger)
+	return leave(node, loaded)
 }
 
 // leave shuts the node down gracefully within the leave timeout.
-func leave(node *wasabiport.Node, loaded settings.Node, logger logr.Logger) error {
-	events.Log(logger, events.NodeLeaving{Grace: loaded.LeaveTimeout})
+func leave(node *wasabiport.Node, loaded settings.Node) error {
 	ctx, cancel := context.WithTimeout(context.Background(), loaded.LeaveTimeout)
 	defer cancel()
-	err := node.Leave(ctx)
-	stopped := events.NodeStopped{}
-	if err != nil {
-		stopped.Error = err.Error()
-	}
-	events.Log(logger, stopped)
-	return err
+	return node.Leave(ctx)
 }
 
 func nodeConfig(loaded settings.Node, logger logr.Logger) wasabiport.Config {
--- a/node.go
+++ b/node.go
@@ -21,6 +21,7 @@
 	"github.com/wasabiport/wasabiport/transport/controlloop"
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/guard"
+	"github.com/wasabiport/wasabiport/transport/metrics"
 	"github.com/wasabiport/wasabiport/transport/peering"
 	"github.com/wasabiport/wasabiport/transport/tlsidentity"
 )
@@ -58,6 +59,7 @@
 	callers   *entry.Server
 	operators *http.Server
 	listeners listeners
+	limiters  metrics.LineLimiters
 	leaving   atomic.Bool
 	threads   sync.WaitGroup
 }
@@ -159,10 +161,13 @@
 // Leave notifies the peers, finishes the running calls of peers and callers, and
 // closes all connections. When half of the time to the deadline of ctx has passed, it
 // withdraws the calls of its callers that still wait for a slot. When ctx ends first,
-// it aborts the remaining calls and returns the context's error.
+// it aborts the remaining calls and returns the context's error. Leave logs its schedule
+// at the beginning, and at the end what became of the calls.
 func (n *Node) Leave(ctx context.Context) error {
 	n.leaving.Store(true)
-	n.entry.Drain(ctx)
+	record := n.entry.Drain(ctx)
+	n.guard.Leave(record)
+	n.logLeaving(ctx, record)
 	n.awaitLeaveDelay(ctx)
 	n.loop.Leave()
 	n.guard.Drain()
@@ -173,8 +178,12 @@
 	n.awaitLastCalls(ctx)
 	err := n.callers.Shutdown(ctx)
 	err = errors.CombineErrors(err, n.guard.AwaitDrained(ctx))
+	// Shutdown breaks off the calls that are counted as running.
+	callers, peers := n.entry.LeavingCounts(), n.guard.PeerCallCounts()
 	n.Shutdown()
-	return errors.Wrap(err, "finish calls")
+	err = errors.Wrap(err, "finish calls")
+	n.logStopped(record, callers, peers, err)
+	return err
 }
 
 // lastCallsShare is the share of the remaining time for which a leaving node still
--- a/providers.go
+++ b/providers.go
@@ -227,6 +227,7 @@
 	handler *entry.Handler,
 	callers *entry.Server,
 	registry *prometheus.Registry,
+	limiters metrics.LineLimiters,
 	policies entry.Policies,
 ) (*Node, error) {
 	if err := metrics.RegisterDistribution(registry, plane); err != nil {
@@ -246,6 +247,7 @@
 		registry:  registry,
 		entry:     handler,
 		callers:   callers,
+		limiters:  limiters,
 	}
 	node.operators = &http.Server{
 		Handler:           operator.NewHandler(config.Self, node, registry),
--- a/transport/calllog/calllog.go
+++ b/transport/calllog/calllog.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/wasabiport/wasabiport/coordination/drain"
 	"github.com/wasabiport/wasabiport/transport/entry"
 	"github.com/wasabiport/wasabiport/transport/events"
 )
@@ -39,17 +40,19 @@
 	return &Observer{Observer: next, staleness: staleness, logger: logger, limiter: limiter}
 }
 
-// CallFinished logs a call unless it succeeded at the first attempt.
+// CallFinished logs a call unless it succeeded at the first attempt, within the limit on
+// log lines.
 func (o *Observer) CallFinished(result entry.CallResult) {
 	o.Observer.CallFinished(result)
 	if result.Reason == 0 && !result.Truncated && len(result.Attempts) <= 1 {
 		return
 	}
 	now := time.Now()
-	suppressed, ok := o.limiter.Allow(now)
+	suppressed, ok := o.allowLine(now, result)
 	if !ok {
 		return
 	}
+	leaving := describeLeaving(result.Leaving)
 	events.Log(o.logger, events.CallEnded{
 		Call:      result.ID,
 		Route:     result.Route,
@@ -67,9 +70,37 @@
 		Detail:     result.Detail,
 		Attempts:   formatAttempts(result.Attempts),
 		Suppressed: suppressed,
+
+		LeavingArrived: leaving.arrived,
+		LeavingEnded:   leaving.ended,
+		LeavingResult:  leaving.result,
 	})
 }
 
+// allowLine applies the limit on log lines. A call that a leaving node has broken off is
+// always logged.
+func (o *Observer) allowLine(now time.Time, result entry.CallResult) (suppressed int64, ok bool) {
+	if result.Leaving != nil && result.Leaving.Result == drain.ResultBrokenOff {
+		return o.limiter.Force(), true
+	}
+	return o.limiter.Allow(now)
+}
+
+// leavingFields are the fields on a call that ended at a leaving node, empty for any
+// other call.
+type leavingFields struct {
+	arrived, ended *time.Duration
+	result         string
+}
+
+func describeLeaving(end *entry.LeavingEnd) leavingFields {
+	if end == nil {
+		return leavingFields{}
+	}
+	arrived, ended := end.Arrived.Round(time.Microsecond), end.Ended.Round(time.Microsecond)
+	return leavingFields{arrived: &arrived, ended: &ended, result: end.Result.String()}
+}
+
 func formatAge(age time.Duration, confirmed bool) string {
 	if !confirmed {
 		return "never"
--- a/transport/calllog/calllog_test.go
+++ b/transport/calllog/calllog_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wasabiport/wasabiport/coordination/drain"
 	"github.com/wasabiport/wasabiport/internal/virtualtime"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/calllog"
@@ -95,6 +96,26 @@
 	})
 }
 
+// Guards against calls that a leaving node has broken off and that the limit on log lines
+// leaves out.
+func TestCallsBrokenOffAreAlwaysLogged(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		observer, output := newObserver(t)
+		const failures, brokenOff = 600, 700
+		for range failures {
+			observer.CallFinished(failedCall("id-1"))
+		}
+		output.Reset()
+		for range brokenOff {
+			call := failedCall("id-2")
+			call.Leaving = &entry.LeavingEnd{Arrived: 3800 * time.Millisecond, Ended: 5200 * time.Millisecond, Result: drain.ResultBrokenOff}
+			observer.CallFinished(call)
+		}
+		require.Equal(t, brokenOff, strings.Count(output.String(), `"leaving_arrived":"3.8s","leaving_ended":"5.2s","leaving_result":"broken_off"`))
+		require.Equal(t, 1, strings.Count(output.String(), `"left_out":100}`))
+	})
+}
+
 // BenchmarkFailedCall compares the cost of a call that is logged, one whose
 // line is suppressed, and no logging at all.
 func BenchmarkFailedCall(b *testing.B) {
--- a/transport/entry/drain.go
+++ b/transport/entry/drain.go
@@ -15,15 +15,18 @@
 // Calls that still wait for a slot after half of the time until the deadline of
 // ctx are withdrawn, and new ones that could still be running at the end are
 // refused from then on. Calls without a response shortly before the deadline are
-// canceled. Without a deadline, calls are not interrupted.
-func (h *Handler) Drain(ctx context.Context) {
+// canceled. Without a deadline, calls are not interrupted. Drain returns the record that
+// counts the calls of callers from now on.
+func (h *Handler) Drain(ctx context.Context) *drain.Record {
 	now := time.Now()
 	deadline, _ := ctx.Deadline()
 	schedule := drain.NewSchedule(now, deadline)
+	h.calls.record.CompareAndSwap(nil, drain.NewRecord(now, schedule))
 	if h.draining.Swap(&schedule) == nil && schedule.Bounded() {
 		time.AfterFunc(schedule.WithdrawAt.Sub(now), h.withdrawWaiting)
 		time.AfterFunc(schedule.ReplyBy.Sub(now), h.cancelCalls)
 	}
+	return h.calls.record.Load()
 }
 
 // admit returns the refusal of a call that this node is too late to take, or nil.
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -89,6 +89,13 @@
 	Attempts []Attempt
 	// Truncated is set when the response could not be written completely.
 	Truncated bool
+	// Deadline is the deadline of the call, not limited by the end of a leaving node. It is
+	// zero if the call ended before it was known.
+	Deadline time.Time
+	// Leaving is nil unless the node was leaving when the call ended.
+	Leaving *LeavingEnd
+	// refusedAt is zero unless the call was refused.
+	refusedAt time.Time
 }
 
 // Attempt describes one attempt to run a call at a backend server.
@@ -135,6 +142,7 @@
 	observer   Observer
 	// draining is nil until Drain is called.
 	draining atomic.Pointer[drain.Schedule]
+	calls    callCounts
 	// queueCtx ends when a leaving node withdraws the calls that still wait for
 	// a slot.
 	queueCtx        context.Context
@@ -208,13 +216,17 @@
 	started := time.Now()
 	result := CallResult{ID: state.CallID(uuid.NewString()), Class: state.ClassBackground}
 	h.observer.CallStarted()
+	arrived := h.calls.arrive(started)
 	defer func() {
 		result.Duration = time.Since(started)
+		h.calls.end(r, arrived, &result)
 		h.observer.CallFinished(result)
 	}()
-	if refusal := h.serve(w, r, &result); refusal != nil {
+	if refusal := h.serve(w, r, arrived, &result); refusal != nil {
+		result.refusedAt = time.Now()
 		result.Outcome = refusal.Outcome
 		result.Reason = refusal.Reason
+		refusal = h.calls.explain(r, result, refusal)
 		result.Detail = refusal.Detail
 		h.closeAfterReply(w, r)
 		h.mapper.WriteRefusal(w, r, result.ID, refusal)
@@ -222,7 +234,7 @@
 }
 
 // serve writes the reply to a call, or returns the refusal to respond with.
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, result *CallResult) *state.Refusal {
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, arrived arrival, result *CallResult) *state.Refusal {
 	request, refusal := h.mapper.Read(r)
 	if request.ID != "" {
 		result.ID = request.ID
@@ -248,6 +260,7 @@
 	defer h.policies.CallerLimits.End(head.Caller)
 
 	ownDeadline := head.Deadline
+	result.Deadline = ownDeadline
 	if refusal := h.admit(head, ownDeadline); refusal != nil {
 		return refusal
 	}
@@ -263,6 +276,7 @@
 		return refusal
 	}
 	defer body.abortRead(controller)
+	arrived.take()
 	head.Fingerprint = httpmap.Fingerprint(r, body.Prefix)
 	attempt := h.applyClientRetry(&head, request)
 	reply, refusal := h.dispatch(callContexts{local: local, remote: remote}, snapshot, head, &body.Body, result)
--- a/transport/entry/server.go
+++ b/transport/entry/server.go
@@ -36,6 +36,8 @@
 	listener atomic.Pointer[callerListener]
 	// serveDone is closed when Serve returns.
 	serveDone chan struct{}
+	// listenerClosed is the time at which the listener was closed, nil before.
+	listenerClosed atomic.Pointer[time.Time]
 }
 
 // NewServer returns a server that passes requests to handler.
@@ -66,7 +68,19 @@
 	defer close(s.serveDone)
 	callers := &callerListener{Listener: listener, connections: s.connections}
 	s.listener.Store(callers)
-	return s.http.Serve(callers)
+	err := s.http.Serve(callers)
+	now := time.Now()
+	s.listenerClosed.Store(&now)
+	return err
+}
+
+// ListenerClosed returns the time at which Serve returned and the listener was closed, or
+// the zero time if it has not.
+func (s *Server) ListenerClosed() time.Time {
+	if closed := s.listenerClosed.Load(); closed != nil {
+		return *closed
+	}
+	return time.Time{}
 }
 
 // Shutdown stops accepting connections, closes idle ones and waits for the
--- a/transport/events/call.go
+++ b/transport/events/call.go
@@ -29,6 +29,14 @@
 	// Attempts lists the attempts, each with its backend server, duration and
 	// outcome.
 	Attempts string `event:"attempts"`
+	// LeavingArrived and LeavingEnded are the times from the beginning of the node's
+	// leaving to the arrival and to the end of the call, nil if the node was not leaving.
+	// LeavingArrived is negative for a call that arrived before.
+	LeavingArrived *time.Duration `event:"leaving_arrived"`
+	LeavingEnded   *time.Duration `event:"leaving_ended"`
+	// LeavingResult is how the call ended at the leaving node, empty if the node was not
+	// leaving.
+	LeavingResult string `event:"leaving_result"`
 	// Suppressed is the number of lines of this kind that the rate limit
 	// suppressed since the previous one.
 	Suppressed int64 `event:"left_out"`
@@ -36,7 +44,7 @@
 
 // Kind returns the description of the event.
 func (CallEnded) Kind() Kind {
-	return Kind{510, LevelInfo, "call-ended", "A call was refused, failed, was cut off or took several attempts. At most 100 lines per second; left_out counts the others."}
+	return Kind{510, LevelInfo, "call-ended", "A call was refused, failed, was cut off or took several attempts. The fields leaving_* are empty unless the node was leaving when the call ended: how long after it began to leave the call arrived (negative: before) and ended, and its result, as in wasabiport_leaving_calls_total. At most 100 lines per second, beside those with the result broken_off; left_out counts the others."}
 }
 
 // GuardRefused is logged by a guard that refused a call or lost its answer.
@@ -60,6 +68,14 @@
 	Running int `event:"running"`
 	Waiting int `event:"waiting"`
 	Slots   int `event:"slots"`
+	// LeavingArrived and LeavingEnded are the times from the beginning of the node's
+	// leaving to the arrival and to the end of the call, nil if the node was not leaving.
+	// LeavingArrived is negative for a call that arrived before.
+	LeavingArrived *time.Duration `event:"leaving_arrived"`
+	LeavingEnded   *time.Duration `event:"leaving_ended"`
+	// BrokenOff is set if this node is leaving and has ended the call, which its backend
+	// server may have had.
+	BrokenOff bool `event:"broken_off"`
 	// Suppressed is the number of lines of this kind that the rate limit
 	// suppressed since the previous one.
 	Suppressed int64 `event:"left_out"`
@@ -67,5 +83,5 @@
 
 // Kind returns the description of the event.
 func (GuardRefused) Kind() Kind {
-	return Kind{511, LevelInfo, "guard-refused", "The guard of a backend server refused a call or lost its answer. At most 20 lines per second; left_out counts the others."}
+	return Kind{511, LevelInfo, "guard-refused", "The guard of a backend server refused a call or lost its answer. The fields leaving_* are empty unless the node was leaving: how long after it began to leave the call arrived (negative: before) and ended. broken_off is true if this node has ended the call, as it was leaving. At most 20 lines per second, beside those with broken_off; left_out counts the others."}
 }
--- a/transport/events/event.go
+++ b/transport/events/event.go
@@ -92,6 +92,11 @@
 		return value.Error()
 	case time.Duration:
 		return value.String()
+	case *time.Duration:
+		if value == nil {
+			return ""
+		}
+		return value.String()
 	case fmt.Stringer:
 		return value.String()
 	default:
--- a/transport/events/limit.go
+++ b/transport/events/limit.go
@@ -26,6 +26,13 @@
 	return &LineLimiter{limiter: rate.NewLimiter(rate.Limit(perSecond), burst), total: suppressed}
 }
 
+// Pending returns the number of lines suppressed since the last allowed one.
+func (l *LineLimiter) Pending() int64 { return l.suppressed.Load() }
+
+// Force takes the number of lines that were suppressed since the previous one, for a
+// line that must be written whatever the limit.
+func (l *LineLimiter) Force() (suppressed int64) { return l.suppressed.Swap(0) }
+
 // Allow reports whether one line may be written, and if so, how many lines were
 // suppressed since the previous one.
 func (l *LineLimiter) Allow(now time.Time) (suppressed int64, ok bool) {
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -12,6 +12,7 @@
 
 	"github.com/wasabiport/wasabiport/coordination/admission"
 	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/coordination/drain"
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
@@ -30,6 +31,8 @@
 	replaced *atomic.Bool
 	suspects *quarantine.Tracker
 	inFlight *inFlight
+	// peerCalls counts the calls of other nodes.
+	peerCalls *drain.PeerCalls
 	// probe distinguishes crashes from lost connections. If it is nil, every
 	// lost connection counts as a crash.
 	probe    *crashProbe
@@ -60,7 +63,9 @@
 	if refusal := g.awaitSlot(waitCtx, reservation, body); refusal != nil {
 		return nil, refusal
 	}
+	endPeerCall := func() {}
 	release := func(result admission.Result) {
+		endPeerCall()
 		g.inFlight.remove(head.ID)
 		if exclusive && (result == admission.ResultSuccess || result == admission.ResultFailed) {
 			g.suspects.RecordSurvival(time.Now(), head.Fingerprint)
@@ -79,6 +84,7 @@
 		}
 	}
 	g.inFlight.add(head.ID, head.Fingerprint)
+	endPeerCall = g.beginPeerCall(body)
 	began := time.Now()
 	reply, refusal := g.run(runCtx, head, body, beforeSend, release)
 	if refusal != nil {
@@ -190,6 +196,7 @@
 		replaced:      new(atomic.Bool),
 		suspects:      g.policies.Suspects,
 		inFlight:      newInFlight(),
+		peerCalls:     g.peerCalls,
 		notifier:      g.notifier,
 		logger:        g.logger,
 		reportLimiter: g.reportLimiter,
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -16,6 +16,7 @@
 	"github.com/wasabiport/wasabiport/coordination/admission"
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
+	"github.com/wasabiport/wasabiport/coordination/drain"
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
 	"github.com/wasabiport/wasabiport/coordination/retry"
@@ -41,6 +42,10 @@
 	reportLimiter *events.LineLimiter
 	gates         *state.ShardedMap[state.BackendServerName, *gate]
 	draining      atomic.Bool
+	// peerCalls counts the calls of other nodes.
+	peerCalls *drain.PeerCalls
+	// leaving is nil until Leave is called.
+	leaving atomic.Pointer[drain.Record]
 	// drainStarted is closed when Drain is first called.
 	drainStarted chan struct{}
 
@@ -112,6 +117,7 @@
 		lineLimiter:   logging.CallLineLimit,
 		reportLimiter: logging.ReportLineLimit,
 		gates:         state.NewShardedMap[state.BackendServerName, *gate](state.DefaultShardCount),
+		peerCalls:     new(drain.PeerCalls),
 		drainStarted:  make(chan struct{}),
 		ctx:           ctx,
 		cancel:        cancel,
@@ -141,10 +147,12 @@
 	return gate.handle(ctx, ctx, head, body, func() {})
 }
 
-// logRefused logs a refused call, within the limit on log lines.
+// logRefused logs a refused call, within the limit on log lines. A call that this node
+// has broken off is always logged.
 func (g *Guard) logRefused(arrivedAt time.Time, head call.Head, load call.LoadHint, refusal *state.Refusal) {
 	now := time.Now()
-	suppressed, ok := g.lineLimiter.Allow(now)
+	arrived, ended, brokenOff := g.leavingTimes(arrivedAt, now, head, refusal)
+	suppressed, ok := g.allowLine(now, brokenOff)
 	if !ok {
 		return
 	}
@@ -166,9 +174,19 @@
 		Waiting:           load.Waiting,
 		Slots:             load.Slots,
 		Suppressed:        suppressed,
+		LeavingArrived:    arrived,
+		LeavingEnded:      ended,
+		BrokenOff:         brokenOff,
 	})
 }
 
+func (g *Guard) allowLine(now time.Time, brokenOff bool) (suppressed int64, ok bool) {
+	if brokenOff {
+		return g.lineLimiter.Force(), true
+	}
+	return g.lineLimiter.Allow(now)
+}
+
 // Load returns the load hint of a backend server.
 func (g *Guard) Load(server state.BackendServerName) call.LoadHint {
 	gate, ok := g.gates.Get(server)
@@ -199,12 +217,16 @@
 
 // Drain refuses all waiting and new calls from now on. Running calls finish.
 func (g *Guard) Drain() {
-	if !g.draining.Swap(true) {
+	first := !g.draining.Swap(true)
+	if first {
 		close(g.drainStarted)
 	}
 	for _, gate := range g.allGates() {
 		gate.admission.Drain(time.Now())
 	}
+	if first {
+		g.peerCalls.Drain()
+	}
 }
 
 // AwaitDrained waits after Drain until no call is running. If ctx ends first,
--- a/transport/metrics/log.go
+++ b/transport/metrics/log.go
@@ -26,6 +26,11 @@
 	Calls, Guard, Reports *events.LineLimiter
 }
 
+// Pending returns the number of lines suppressed since the latest line of the same kind.
+func (l LineLimiters) Pending() int64 {
+	return l.Calls.Pending() + l.Guard.Pending() + l.Reports.Pending()
+}
+
 // NewLineLimiters returns the rate limiters of the log lines about calls, and
 // registers the counter of the lines that they suppress.
 func NewLineLimiters(registry prometheus.Registerer) (LineLimiters, error) {
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -64,7 +64,7 @@
 	}
 	handler := newEntry(config, entryPolicies, snapshotStore, plane, plane, pool, guard, observer)
 	server := newCallerServer(config, handler)
-	node, err := newNode(config, snapshotStore, plane, guard, loop, pool, wasabiportPeerSecurity, handler, server, registry, entryPolicies)
+	node, err := newNode(config, snapshotStore, plane, guard, loop, pool, wasabiportPeerSecurity, handler, server, registry, lineLimiters, entryPolicies)
 	if err != nil {
 		return nil, err
 	}
