Take no call of another node that the guard of a leaving node would break off

What callers saw: a call that can't be repeated, sent to a node that was not leaving at all, was answered 502 while its backend server had it, as the backend server's own node left. If the entry node leaves 1 s later, the call is lost around its SIGTERM too.

The guard of a leaving node took calls for the leave delay whatever their deadlines, and broke them off at its end.

Change: from the beginning of the leaving the guard refuses calls of other nodes that are not idempotent, have no key, and may still be running at its last reply. They have not run, so their entry nodes send them to another guard free of charge. The reason is 'deadline': after 'draining', entry nodes would send short calls elsewhere too, and the slots would be idle.

Idempotent calls are still taken and repeated elsewhere when they are lost; an answer to one that has begun is still cut at the end of the node.

--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -60,6 +60,18 @@
 	return refusal
 }
 
+// AdmitPeerCall returns nil if the guard of the node takes a call of another node.
+// Otherwise it returns the refusal: the call can't be repeated and could still be
+// running when the node ends. Its entry node can send it to another guard, so the
+// refusal has the reason deadline and not draining, after which the entry node would
+// send no other call here either.
+func (s Schedule) AdmitPeerCall(deadline time.Time, idempotent bool) *state.Refusal {
+	if !s.Bounded() || idempotent || !deadline.After(s.ReplyBy) {
+		return nil
+	}
+	return state.NotRun(state.RefusedDeadline, "the node of the backend server is leaving and may end before the call does")
+}
+
 // Cap limits the deadline of a call to End.
 func (s Schedule) Cap(deadline time.Time) time.Time {
 	if s.Bounded() && s.End.Before(deadline) {
--- a/coordination/drain/drain_test.go
+++ b/coordination/drain/drain_test.go
@@ -40,6 +40,16 @@
 	}
 }
 
+func TestAdmitPeerCallRefusesWhatCannotBeRepeatedAndMayOutliveTheNode(t *testing.T) {
+	schedule := drain.NewSchedule(began, after(6.5))
+	require.Nil(t, schedule.AdmitPeerCall(after(6), false))
+	require.Nil(t, schedule.AdmitPeerCall(after(9), true))
+	require.Nil(t, drain.NewSchedule(began, time.Time{}).AdmitPeerCall(after(9), false))
+	refusal := schedule.AdmitPeerCall(after(6.1), false)
+	require.Equal(t, state.OutcomeNotRun, refusal.Outcome)
+	require.False(t, refusal.ReachedBackendServer)
+}
+
 func TestCapLimitsDeadlinesToTheEnd(t *testing.T) {
 	schedule := drain.NewSchedule(began, after(6.5))
 	require.Equal(t, after(6.5), schedule.Cap(after(8)))
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -144,6 +144,9 @@
 	if retry.RunsAtMostOnce(head) {
 		return g.handleKeyed(ctx, gate, head, body)
 	}
+	if refusal := g.admitPeerCall(head, body); refusal != nil {
+		return nil, refusal
+	}
 	return gate.handle(ctx, ctx, head, body, func() {})
 }
 
--- a/transport/guard/leaving.go
+++ b/transport/guard/leaving.go
@@ -11,8 +11,8 @@
 	"github.com/wasabiport/wasabiport/transport/callstream"
 )
 
-// Leave tells the guard that its node has begun to leave. Which calls it takes only
-// changes with Drain.
+// Leave tells the guard that its node has begun to leave. Until Drain it still takes
+// calls, see drain.Schedule.AdmitPeerCall.
 func (g *Guard) Leave(record *drain.Record) {
 	g.peerCalls.Leave(record.Began())
 	g.leaving.Store(record)
@@ -21,6 +21,16 @@
 // PeerCallCounts returns the numbers of calls of other nodes since Leave.
 func (g *Guard) PeerCallCounts() drain.PeerCounts { return g.peerCalls.Counts() }
 
+// admitPeerCall returns the refusal of a call of another node that a leaving node does
+// not take, or nil.
+func (g *Guard) admitPeerCall(head call.Head, body io.Reader) *state.Refusal {
+	record := g.leaving.Load()
+	if _, local := body.(callstream.LocalBody); local || record == nil {
+		return nil
+	}
+	return record.Schedule().AdmitPeerCall(head.Deadline, head.Idempotent)
+}
+
 // beginPeerCall counts a call that has its slot, if it comes from another node. The
 // returned function counts its end once.
 func (g *gate) beginPeerCall(body io.Reader) (end func()) {
