--- a/coordination/drain/record.go
+++ b/coordination/drain/record.go
@@ -32,6 +32,15 @@
 // earlier.
 func (r *Record) Since(t time.Time) time.Duration { return t.Sub(r.began) }
 
+// LeaveDelay returns the time for which the guard of the node still takes calls: at most
+// limit, and no longer than until waiting calls are withdrawn.
+func (r *Record) LeaveDelay(limit time.Duration) time.Duration {
+	if !r.schedule.Bounded() {
+		return limit
+	}
+	return max(0, min(limit, r.Since(r.schedule.WithdrawAt)))
+}
+
 // Arrive counts a call that has arrived.
 func (r *Record) Arrive() { r.arrived.Add(1) }
 
--- a/leavinglog.go
+++ b/leavinglog.go
@@ -10,7 +10,7 @@
 
 // logLeaving logs the schedule of a node that begins to leave.
 func (n *Node) logLeaving(ctx context.Context, record *drain.Record) {
-	event := events.NodeLeaving{Drain: n.config.LeaveDelay}
+	event := events.NodeLeaving{Drain: record.LeaveDelay(n.config.LeaveDelay)}
 	if schedule := record.Schedule(); schedule.Bounded() {
 		deadline, _ := ctx.Deadline()
 		event.Grace = sinceLeaving(record, deadline)
--- a/node.go
+++ b/node.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/drain"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
@@ -168,7 +169,7 @@
 	record := n.entry.Drain(ctx)
 	n.guard.Leave(record)
 	n.logLeaving(ctx, record)
-	n.awaitLeaveDelay(ctx)
+	n.awaitLeaveDelay(ctx, record)
 	n.loop.Leave()
 	n.guard.Drain()
 	flushCtx, cancel := context.WithTimeout(ctx, flushTimeout)
@@ -205,8 +206,8 @@
 }
 
 // awaitLeaveDelay gives callers and peers the time to switch to other nodes.
-func (n *Node) awaitLeaveDelay(ctx context.Context) {
-	timer := time.NewTimer(n.config.LeaveDelay)
+func (n *Node) awaitLeaveDelay(ctx context.Context, record *drain.Record) {
+	timer := time.NewTimer(record.LeaveDelay(n.config.LeaveDelay))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
