Give a class of long calls its floor while urgent calls wait

Cause: calls of 250 ms and more leave slots free for more urgent classes, up to two of six. The gate applied that also to a class below its floor. While urgent calls wait, slots become free one at a time, so such a class never found enough of them. The calls take 290 ms; their recent mean varies around the threshold, so the floor was withheld for a varying part of the time.

Evidence: the new test failed before, with 0.0025 of the slots where the floor is 0.20.

Change: a class below its floor leaves no slots free. Beyond its floor, long calls still do: TestLongCallsDoNotBlockUrgentCalls has the same figures.

--- a/coordination/admission/gate_test.go
+++ b/coordination/admission/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,6 +133,42 @@
 	require.True(t, granted(gate.Request(epoch.Add(time.Minute), headOf(state.ClassCritical, "surgeon"))))
 }
 
+// Guards against classes of long calls that get no slot while more urgent calls wait,
+// because they leave slots free to those.
+func TestLongCallsGetFloorWhileUrgentCallsWait(t *testing.T) {
+	const step, steps = 50 * time.Millisecond, 600
+	gate := newGate()
+	recordServiceTime(gate, state.ClassHigh, slots*step)
+	now := epoch.Add(time.Minute)
+	var undecided, running []*admission.Reservation
+	var used [state.ClassCount]int
+	for range steps {
+		for _, class := range []state.PriorityClass{state.ClassCritical, state.ClassHigh} {
+			for range 2 - gate.Occupancy().Waiting[class] {
+				undecided = append(undecided, gate.Request(now, headOf(class, "a")))
+			}
+		}
+		undecided = slices.DeleteFunc(undecided, func(reservation *admission.Reservation) bool {
+			if granted(reservation) {
+				running = append(running, reservation)
+			}
+			return decided(reservation)
+		})
+		for class, calls := range gate.Occupancy().Running {
+			used[class] += calls
+		}
+		now = now.Add(step)
+		if len(running) >= slots {
+			gate.Release(now, running[0])
+			running = running[1:]
+		}
+	}
+	for _, class := range []state.PriorityClass{state.ClassCritical, state.ClassHigh} {
+		share := float64(used[class]) / (slots * steps)
+		require.GreaterOrEqual(t, share, 0.98*testService.Floors[class], class)
+	}
+}
+
 func TestDrainRefusesAllButRunningCalls(t *testing.T) {
 	tests := map[string]func(*admission.Gate){
 		"announced": func(gate *admission.Gate) { gate.Drain(epoch) },
--- a/coordination/admission/grant.go
+++ b/coordination/admission/grant.go
@@ -41,10 +41,11 @@
 
 // dequeueNext removes and returns the next reservation: from the most urgent
 // class that has received less than its floor, or else from the most urgent
-// class.
+// class that may take a slot. Long calls leave no slots free while their class is
+// below its floor: while urgent calls wait, slots become free one at a time.
 func (g *Gate) dequeueNext(now time.Time) (reservation *Reservation, guaranteed bool) {
 	for _, class := range state.Classes() {
-		if g.floors.isBelowFloor(class) && g.isEligible(now, class) {
+		if g.floors.isBelowFloor(class) && g.waitingOf(class) > 0 {
 			reservation = g.dequeue(now, class)
 		}
 		if reservation != nil {
@@ -63,7 +64,7 @@
 }
 
 // isEligible reports whether class has a waiting reservation that may get a
-// slot.
+// slot beyond its floor.
 func (g *Gate) isEligible(now time.Time, class state.PriorityClass) bool {
 	return g.waitingOf(class) > 0 && g.hasSlotFor(now, class)
 }
