Bound the leave delay by the time until the last reply, not by that until the withdrawal

With 4 s to leave, the default leave delay of 2 s is kept, so programs with the defaults behave as before; only what would end after the last reply is cut short.

--- a/coordination/drain/drain.go
+++ b/coordination/drain/drain.go
@@ -15,6 +15,9 @@
 	// withdrawFraction is the fraction of the time until ReplyBy after which waiting
 	// calls are withdrawn. The rest is left for running calls.
 	withdrawFraction = 0.5
+	// maxDelayFraction is the largest fraction of the time until ReplyBy for which the
+	// guard still takes calls. The rest is left for finishing them.
+	maxDelayFraction = 2.0 / 3
 	// retryAfter is the retry delay sent with calls that a leaving node withdraws or
 	// does not take. By then the caller has switched to another node, or this node
 	// has restarted.
--- a/coordination/drain/record.go
+++ b/coordination/drain/record.go
@@ -33,12 +33,13 @@
 func (r *Record) Since(t time.Time) time.Duration { return t.Sub(r.began) }
 
 // LeaveDelay returns the time for which the guard of the node still takes calls: at most
-// limit, and no longer than until waiting calls are withdrawn.
+// limit, and maxDelayFraction of the time until the last reply.
 func (r *Record) LeaveDelay(limit time.Duration) time.Duration {
 	if !r.schedule.Bounded() {
 		return limit
 	}
-	return max(0, min(limit, r.Since(r.schedule.WithdrawAt)))
+	longest := time.Duration(maxDelayFraction * float64(r.Since(r.schedule.ReplyBy)))
+	return max(0, min(limit, longest))
 }
 
 // Arrive counts a call that has arrived.
