Export the calls of a leaving node as metrics

Operators could not alert on calls that a restart breaks off, nor watch a node that takes long to leave.

Change: wasabiport_leaving_calls_total by result, wasabiport_leaving_peer_calls_total and wasabiport_leaving_phase, read from the counters of the log lines on each scrape.

--- a/providers.go
+++ b/providers.go
@@ -236,6 +236,9 @@
 	if err := metrics.RegisterRetryBudget(registry, policies.Budget); err != nil {
 		return nil, err
 	}
+	if err := metrics.RegisterLeaving(registry, handler, guard); err != nil {
+		return nil, err
+	}
 	node := &Node{
 		config:    config,
 		snapshots: snapshots,
--- a/transport/entry/leaving.go
+++ b/transport/entry/leaving.go
@@ -92,6 +92,15 @@
 	}
 }
 
+// LeavingPhase returns how far the leaving of the node has come.
+func (h *Handler) LeavingPhase(now time.Time) drain.Phase {
+	record := h.calls.record.Load()
+	if record == nil {
+		return drain.PhaseServing
+	}
+	return record.Schedule().Phase(now)
+}
+
 // LeavingCounts returns the numbers of calls since Drain was called. They are 0 before.
 func (h *Handler) LeavingCounts() drain.Counts {
 	record := h.calls.record.Load()
--- a/transport/metrics/calls.go
+++ b/transport/metrics/calls.go
@@ -1,5 +1,5 @@
 // Package metrics exports the Prometheus metrics of calls, backend servers,
-// configuration distribution, the retry budget and the log.
+// configuration distribution, the retry budget, leaving and the log.
 package metrics
 
 import (
