Charge the calls of repeated runs to the retry budget

Cause: a retry runs its call again, with all calls that it makes. Each is a first attempt for its entry node, so no budget was charged for it, and each even credited the budget. Half of the budget was left for them by a guess; a run makes 1.4 calls on average there.

Change: package repeats knows the runs in progress on a host. A call that expires no later than a run counts as a repeat with the probability that such a run is one, is charged by that share, and passes it on in the call head. A guard does not run a repeat whose calls the budgets don't cover, with the reason retry-budget. Calls are never refused for it. A repeat that a guard has refused is not charged a second time.

--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -41,6 +41,10 @@
 	// means no limit. Both are used by the entry node only.
 	ReachedAttempts    int
 	MaxReachedAttempts int
+	// RepeatShare is the probability that the attempt is a repeat, from 0 to 1. It is 1
+	// after an attempt that reached a backend server, and before that the one of the run
+	// that made the call.
+	RepeatShare float64
 	// IdempotencyKey is empty when the caller sent none.
 	IdempotencyKey string
 	// Idempotent is set when the call can safely run more than once.
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -38,9 +38,10 @@
 	// GuardsDetectCrashes means that guards detect which failures are crashes. A
 	// retry after a failure is then not marked as suspect. Default false.
 	GuardsDetectCrashes bool
-	// ChargeReachedOnly means that a retry is charged to the budget only if an
-	// earlier attempt has reached a backend server. Retries after refusals by
-	// guards are then free. Default false.
+	// ChargeReachedOnly means that a retry is charged to the budget only if the
+	// attempt before it has reached a backend server. Retries after refusals by
+	// guards are then free: either no attempt has reached a backend server, or
+	// the one that was refused has been charged. Default false.
 	ChargeReachedOnly bool
 }
 
@@ -111,7 +112,7 @@
 	if action == ActionRetrySameServer {
 		delay = p.delay(attempts)
 	}
-	if !now.Add(delay).Before(head.Deadline) || !p.tryCharge(head) {
+	if !now.Add(delay).Before(head.Deadline) || !p.tryCharge(head, refusal) {
 		return returnRefusal(head, refusal)
 	}
 	failed := refusal.Reason == state.RefusedBackendServerFailed && !p.config.GuardsDetectCrashes
@@ -121,8 +122,8 @@
 
 // tryCharge charges another attempt to the budget unless the attempt is free. It
 // returns false if the budget does not allow the attempt.
-func (p *Policy) tryCharge(head call.Head) bool {
-	if p.config.ChargeReachedOnly && head.ReachedAttempts == 0 {
+func (p *Policy) tryCharge(head call.Head, refusal *state.Refusal) bool {
+	if p.config.ChargeReachedOnly && !refusal.ReachedBackendServer {
 		return true
 	}
 	return p.budget.TryWithdraw(head.Service)
@@ -168,7 +169,8 @@
 		state.RefusedBehind,
 		state.RefusedUnreachable,
 		state.RefusedBackendServerFailed,
-		state.RefusedShed:
+		state.RefusedShed,
+		state.RefusedRetryBudget:
 		return true
 	default:
 		return false
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -194,3 +194,17 @@
 	require.LessOrEqual(t, withdrawn, nodes*calls/5+capacity)
 	require.GreaterOrEqual(t, withdrawn, nodes*calls/5-nodes)
 }
+
+// Guards against charging a repeat that no backend server has got, in addition to the one in its place.
+func TestRetryOfARepeatThatWasRefusedIsFree(t *testing.T) {
+	budget := retry.NewBudget(retry.BudgetConfig{Capacity: 1})
+	policy := retry.NewPolicy(retry.Config{ChargeReachedOnly: true}, budget, rand.New(rand.NewPCG(1, 2)))
+	head := call.Head{Service: "desk", Idempotent: true, Deadline: now.Add(time.Second)}
+	lost := state.MayHaveRun(state.RefusedBackendServerFailed, "")
+	require.Equal(t, retry.ActionRetryOtherServer, policy.Decide(now, head, lost, 1).Action)
+	require.Zero(t, budget.Balance(now, "desk"), "the repeat is charged")
+	head.ReachedAttempts = 1
+	notCovered := state.NotRun(state.RefusedRetryBudget, "")
+	require.Equal(t, retry.ActionRetryOtherServer, policy.Decide(now, head, notCovered, 2).Action)
+	require.Equal(t, retry.ActionReturnRefusal, policy.Decide(now, head, lost, 2).Action)
+}
--- a/protocol/callwire/fuzz_test.go
+++ b/protocol/callwire/fuzz_test.go
@@ -50,7 +50,7 @@
 		Deadline: now.Add(time.Second), SoftDeadline: now.Add(time.Millisecond), Fingerprint: 9, IdempotencyKey: "k",
 		Idempotent: true, Method: "PUT", Target: "/a?b", Authority: "desk.example",
 		Fields: []call.Field{{Name: "A", Value: "b"}}, ContentLength: -1,
-		RateLimit: call.RateLimit{Limited: true, PerSecond: 2.5},
+		RateLimit: call.RateLimit{Limited: true, PerSecond: 2.5}, RepeatShare: 0.25,
 	}
 	decoded, err := callwire.DecodeHead(now, callwire.EncodeHead(now, head))
 	require.NoError(t, err)
@@ -76,6 +76,14 @@
 	}
 }
 
+func TestRepeatShareThatIsNoProbabilityIsIgnored(t *testing.T) {
+	for _, share := range []float64{-1, 1.5, math.Inf(1), math.NaN()} {
+		head, err := callwire.DecodeHead(now, &wirepb.CallHead{Id: "id-1", BackendServer: "desk-0", RepeatShare: share})
+		require.NoError(t, err)
+		require.Zero(t, head.RepeatShare)
+	}
+}
+
 // FuzzDecodeRefusal checks that no outcome other than "not run" is decoded as
 // "not run", that "done" is never decoded, and that a call that may have run counts as
 // having reached its backend server.
--- a/protocol/callwire/head.go
+++ b/protocol/callwire/head.go
@@ -34,6 +34,7 @@
 		Authority:      head.Authority,
 		Fields:         encodeFields(head.Fields),
 		ContentLength:  head.ContentLength,
+		RepeatShare:    head.RepeatShare,
 	}
 	if !head.SoftDeadline.IsZero() {
 		message.WantedNanos = proto.Int64(int64(head.SoftDeadline.Sub(now)))
@@ -83,6 +84,7 @@
 		Fields:         decodeFields(message.GetFields()),
 		ContentLength:  message.GetContentLength(),
 		RateLimit:      decodeRateLimit(message.RateLimit),
+		RepeatShare:    decodeProbability(message.GetRepeatShare()),
 	}
 	if message.WantedNanos != nil {
 		head.SoftDeadline = now.Add(time.Duration(message.GetWantedNanos()))
@@ -90,6 +92,14 @@
 	return head, nil
 }
 
+// decodeProbability returns 0 for a number that is no probability.
+func decodeProbability(value float64) float64 {
+	if !(value >= 0 && value <= 1) {
+		return 0
+	}
+	return value
+}
+
 // EncodeReplyHead returns the protobuf form of a reply's header.
 func EncodeReplyHead(head call.ReplyHead) *wirepb.ReplyHead {
 	return &wirepb.ReplyHead{
--- a/providers.go
+++ b/providers.go
@@ -17,6 +17,7 @@
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/coordination/picking"
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
+	"github.com/wasabiport/wasabiport/coordination/repeats"
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
@@ -137,6 +138,7 @@
 	config Config,
 	snapshots *state.SnapshotStore,
 	policies guard.Policies,
+	repeats *repeats.Tracker,
 	notifier guard.PeerNotifier,
 	limiters metrics.LineLimiters,
 	logger logr.Logger,
@@ -145,6 +147,7 @@
 	if mapper == nil {
 		mapper = httpmap.BackendMapper{}
 	}
+	policies.Repeats = repeats
 	return guard.New(config.Self.Name, mapper, snapshots, policies, notifier, config.Network, guard.Logging{
 		Logger: logger, CallLineLimit: limiters.Guard, ReportLineLimit: limiters.Reports,
 	})
@@ -167,17 +170,26 @@
 	return calllog.New(calls, plane, limiters.Calls, logger), nil
 }
 
-func newEntryPolicies(config Config, picker *picking.Picker, plane *control.Plane) entry.Policies {
+func newRetryBudget(config Config, plane *control.Plane) *retry.Budget {
 	settings := retry.BudgetConfig{Share: config.Adapter.RetryShare, Capacity: config.Adapter.RetrySlack}
 	if config.Adapter.RetrySlack > 0 {
 		settings.Nodes = plane.HostCount
 	}
-	budget := retry.NewBudget(settings)
+	return retry.NewBudget(settings)
+}
+
+func newEntryPolicies(
+	config Config,
+	picker *picking.Picker,
+	budget *retry.Budget,
+	repeats *repeats.Tracker,
+) entry.Policies {
 	policy := retry.Config{ChargeReachedOnly: config.Adapter.RetrySlack > 0, GuardsDetectCrashes: config.Adapter.ConfirmCrashes}
 	return entry.Policies{
 		Picker:       picker,
 		Retries:      retry.NewPolicy(policy, budget, newRandom(config, retryStream)),
 		Budget:       budget,
+		Repeats:      repeats,
 		CallerLimits: callerlimit.New(callerlimit.Config{}),
 
 		ClientRetries: clientretry.NewTracker(clientretry.Config{}),
@@ -232,7 +244,7 @@
 	if err := metrics.RegisterDistribution(registry, plane); err != nil {
 		return nil, err
 	}
-	if err := metrics.RegisterRetryBudget(registry, policies.Budget); err != nil {
+	if err := metrics.RegisterRetryBudget(registry, policies.Budget, policies.Repeats); err != nil {
 		return nil, err
 	}
 	node := &Node{
--- a/state/refusal.go
+++ b/state/refusal.go
@@ -84,6 +84,9 @@
 	RefusedUnsupported
 	// RefusedTooLarge means that the request body exceeds the size limit.
 	RefusedTooLarge
+	// RefusedRetryBudget means that the attempt is a repeat, and that the retry
+	// budget does not cover the calls that it would make to other services.
+	RefusedRetryBudget
 )
 
 var refusalReasonNames = map[RefusalReason]string{
@@ -104,6 +107,7 @@
 	RefusedCanceled:            "canceled",
 	RefusedUnsupported:         "unsupported",
 	RefusedTooLarge:            "too-large",
+	RefusedRetryBudget:         "retry-budget",
 }
 
 // String returns the reason as it appears in headers and metrics.
--- a/transport/entry/clientretry_test.go
+++ b/transport/entry/clientretry_test.go
@@ -16,6 +16,7 @@
 	"github.com/wasabiport/wasabiport/coordination/callerlimit"
 	"github.com/wasabiport/wasabiport/coordination/clientretry"
 	"github.com/wasabiport/wasabiport/coordination/picking"
+	"github.com/wasabiport/wasabiport/coordination/repeats"
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/internal/virtualtime"
 	"github.com/wasabiport/wasabiport/protocol/handshake"
@@ -71,6 +72,7 @@
 		Picker:        picking.NewPicker(picking.Config{}, singleHost{}, rand.New(rand.NewPCG(1, 2))),
 		Retries:       retry.NewPolicy(retry.Config{}, budget, rand.New(rand.NewPCG(3, 4))),
 		Budget:        budget,
+		Repeats:       repeats.NewTracker(budget),
 		CallerLimits:  callerlimit.New(callerlimit.Config{}),
 		ClientRetries: clientretry.NewTracker(clientretry.Config{}),
 	}
--- a/transport/entry/dispatch.go
+++ b/transport/entry/dispatch.go
@@ -25,7 +25,6 @@
 	body *callstream.Body,
 	callResult *CallResult,
 ) (*callstream.Reply, *state.Refusal) {
-	h.policies.Budget.Deposit(head.Service)
 	var tried []state.BackendServerName
 	var last *state.Refusal
 	for attempts := 1; ; attempts++ {
@@ -63,6 +62,7 @@
 		}
 		if result.Refusal.ReachedBackendServer {
 			head.ReachedAttempts++
+			head.RepeatShare = 1
 		}
 		head.Suspect = decision.Suspect
 		last = h.finalRefusal(head, result.Refusal)
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/wasabiport/wasabiport/coordination/clientretry"
 	"github.com/wasabiport/wasabiport/coordination/drain"
 	"github.com/wasabiport/wasabiport/coordination/picking"
+	"github.com/wasabiport/wasabiport/coordination/repeats"
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/coordination/routing"
 	"github.com/wasabiport/wasabiport/protocol/handshake"
@@ -113,9 +114,11 @@
 
 // Policies are the components of package coordination that a Handler consults.
 type Policies struct {
-	Picker       *picking.Picker
-	Retries      *retry.Policy
-	Budget       *retry.Budget
+	Picker  *picking.Picker
+	Retries *retry.Policy
+	Budget  *retry.Budget
+	// Repeats attributes calls to the runs in progress on this host.
+	Repeats      *repeats.Tracker
 	CallerLimits *callerlimit.Limits
 	// ClientRetries recognizes requests that a client sends again after a
 	// refusal.
@@ -240,7 +243,8 @@
 		return state.NotRun(state.RefusedNoRoute, "no route matches the request")
 	}
 	service := routing.PickService(route, h.policies.Picker.RandomFloat64())
-	head := newHead(time.Now(), result.ID, snapshot.Accepted(), route, service, request)
+	arrivedAt := time.Now()
+	head := newHead(arrivedAt, result.ID, snapshot.Accepted(), route, service, request)
 	result.Route, result.Class, result.Caller = head.Route, head.Class, head.Caller
 	if refusal := h.policies.CallerLimits.Begin(time.Now(), head.Caller, route); refusal != nil {
 		return retry.RefusalWithoutRecord(head, refusal)
@@ -265,6 +269,7 @@
 	defer body.abortRead(controller)
 	head.Fingerprint = httpmap.Fingerprint(r, body.Prefix)
 	attempt := h.applyClientRetry(&head, request)
+	head.RepeatShare = h.recordCall(arrivedAt, head.Service, request)
 	reply, refusal := h.dispatch(callContexts{local: local, remote: remote}, snapshot, head, &body.Body, result)
 	if refusal != nil {
 		h.policies.ClientRetries.RecordRefusal(time.Now(), attempt)
--- a/transport/entry/head.go
+++ b/transport/entry/head.go
@@ -53,6 +53,16 @@
 	return attempt
 }
 
+// recordCall credits or charges the retry budget for a call, and returns the
+// probability that the call belongs to a repeat.
+func (h *Handler) recordCall(arrivedAt time.Time, service state.ServiceName, request call.Request) float64 {
+	var deadline time.Time
+	if request.Remaining > 0 {
+		deadline = arrivedAt.Add(request.Remaining)
+	}
+	return h.policies.Repeats.RecordCall(time.Now(), service, deadline)
+}
+
 // effectiveTimeout returns the timeout of the route, or the remaining time of
 // the caller if that is shorter.
 func effectiveTimeout(route state.Route, request call.Request) time.Duration {
--- a/transport/guard/fixture_test.go
+++ b/transport/guard/fixture_test.go
@@ -15,6 +15,8 @@
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
+	"github.com/wasabiport/wasabiport/coordination/repeats"
+	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
@@ -37,6 +39,8 @@
 	guard   *guard.Guard
 
 	snapshots *state.SnapshotStore
+	budget    *retry.Budget
+	repeats   *repeats.Tracker
 }
 
 func newFixture(t *testing.T, connections int) *fixture {
@@ -54,16 +58,19 @@
 	snapshots := state.NewSnapshotStore(1)
 	require.True(t, snapshots.Swap(builder.Build(1, 1)))
 	memory := network.NewMemory()
+	budget := retry.NewBudget(retry.BudgetConfig{})
+	tracker := repeats.NewTracker(budget)
 	policies := guard.Policies{
 		Records:   callrecord.New(callrecord.Config{Started: time.Now().Add(-time.Hour)}),
 		Suspects:  quarantine.NewTracker(quarantine.Config{}),
 		KeyOwners: keyowner.NewHistory(time.Hour),
+		Repeats:   tracker,
 	}
 	limiters, err := metrics.NewLineLimiters(prometheus.NewRegistry())
 	require.NoError(t, err)
 	logging := guard.Logging{Logger: logr.Discard(), CallLineLimit: limiters.Guard, ReportLineLimit: limiters.Reports}
 	return &fixture{
-		t: t, snapshots: snapshots, network: memory,
+		t: t, snapshots: snapshots, network: memory, budget: budget, repeats: tracker,
 		guard: guard.New("host-0", mapper, snapshots, policies, noPeers{}, memory, logging),
 	}
 }
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -13,6 +13,7 @@
 	"github.com/wasabiport/wasabiport/coordination/admission"
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
+	"github.com/wasabiport/wasabiport/coordination/repeats"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/events"
@@ -30,6 +31,7 @@
 	replaced *atomic.Bool
 	suspects *quarantine.Tracker
 	inFlight *inFlight
+	repeats  *repeats.Tracker
 	// probe distinguishes crashes from lost connections. If it is nil, every
 	// lost connection counts as a crash.
 	probe    *crashProbe
@@ -53,6 +55,11 @@
 	if g.replaced.Load() {
 		return nil, state.NotRun(state.RefusedDraining, "another backend server was found at the address")
 	}
+	if head.RepeatShare >= 1 {
+		if refusal := g.repeats.Admit(time.Now(), g.server.Name); refusal != nil {
+			return nil, refusal
+		}
+	}
 	reservation, exclusive, refusal := g.reserve(head)
 	if refusal != nil {
 		return nil, refusal
@@ -79,10 +86,15 @@
 		}
 	}
 	g.inFlight.add(head.ID, head.Fingerprint)
+	endRun := g.repeats.Begin(repeats.Run{BackendServer: g.server.Name, Deadline: head.Deadline, RepeatShare: head.RepeatShare})
+	releaseRun := func(result admission.Result) {
+		endRun()
+		release(result)
+	}
 	began := time.Now()
-	reply, refusal := g.run(runCtx, head, body, beforeSend, release)
+	reply, refusal := g.run(runCtx, head, body, beforeSend, releaseRun)
 	if refusal != nil {
-		release(admission.ResultAborted)
+		releaseRun(admission.ResultAborted)
 		return nil, refusal
 	}
 	reply.Head.ServiceTime = time.Since(began)
@@ -190,6 +202,7 @@
 		replaced:      new(atomic.Bool),
 		suspects:      g.policies.Suspects,
 		inFlight:      newInFlight(),
+		repeats:       g.policies.Repeats,
 		notifier:      g.notifier,
 		logger:        g.logger,
 		reportLimiter: g.reportLimiter,
--- a/transport/guard/guard.go
+++ b/transport/guard/guard.go
@@ -18,6 +18,7 @@
 	"github.com/wasabiport/wasabiport/coordination/callrecord"
 	"github.com/wasabiport/wasabiport/coordination/keyowner"
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
+	"github.com/wasabiport/wasabiport/coordination/repeats"
 	"github.com/wasabiport/wasabiport/coordination/retry"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
@@ -75,6 +76,8 @@
 	// KeyOwners is the source from which Records obtains the owners of
 	// idempotency keys.
 	KeyOwners *keyowner.History
+	// Repeats records the runs in progress, and admits repeats.
+	Repeats *repeats.Tracker
 	// ConfirmCrashes is set if a crashed backend server refuses connections for
 	// a while. A lost connection then counts as a crash only if the backend
 	// server also accepts no new one.
--- a/wire.go
+++ b/wire.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/repeats"
 	"github.com/wasabiport/wasabiport/transport/calllog"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
@@ -42,6 +43,8 @@
 	newGuard,
 	metrics.NewLineLimiters,
 	newCallObserver,
+	newRetryBudget,
+	repeats.NewTracker,
 	newEntryPolicies,
 	newEntry,
 	newCallerServer,
--- a/wire_gen.go
+++ b/wire_gen.go
@@ -10,6 +10,7 @@
 	"github.com/google/wire"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/wasabiport/wasabiport/coordination/control"
+	"github.com/wasabiport/wasabiport/coordination/repeats"
 	"github.com/wasabiport/wasabiport/transport/calllog"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/controlloop"
@@ -27,6 +28,8 @@
 	wasabiportIncarnation := newIncarnation()
 	policies := newGuardPolicies(config, wasabiportIncarnation)
 	plane := newPlane(config, wasabiportIncarnation, snapshotStore, policies)
+	budget := newRetryBudget(config, plane)
+	tracker := repeats.NewTracker(budget)
 	source := newSource(config)
 	registry, err := newRegistry(config)
 	if err != nil {
@@ -42,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	guard := newGuard(config, snapshotStore, policies, loop, lineLimiters, logger)
+	guard := newGuard(config, snapshotStore, policies, tracker, loop, lineLimiters, logger)
 	peeringConfig := newPeeringConfig(config, wasabiportIncarnation)
 	network := newNetwork(config)
 	wasabiportPeerSecurity, err := newPeerSecurity(config)
@@ -57,7 +60,7 @@
 	}
 	pool := peering.NewPool(peeringConfig, network, wasabiportPeerSecurity, wasabiportPeerHandler, limiter, peeringMetrics)
 	picker := newPicker(config, plane)
-	entryPolicies := newEntryPolicies(config, picker, plane)
+	entryPolicies := newEntryPolicies(config, picker, budget, tracker)
 	observer, err := newCallObserver(registry, guard, plane, lineLimiters, logger)
 	if err != nil {
 		return nil, err
@@ -90,7 +93,7 @@
 	newGuardPolicies,
 	newLogger,
 	newGuard, metrics.NewLineLimiters, newCallObserver,
-	newEntryPolicies,
+	newRetryBudget, repeats.NewTracker, newEntryPolicies,
 	newEntry,
 	newCallerServer,
 	newNode, metrics.NewSourceReads, wire.Bind(new(controlloop.ReadObserver), new(*metrics.SourceReads)), controlloop.New, wire.Bind(new(entry.Hosts), new(*control.Plane)), wire.Bind(new(entry.Readiness), new(*control.Plane)), wire.Bind(new(guard.PeerNotifier), new(*controlloop.Loop)), wire.Bind(new(entry.Dialer), new(*peering.Pool)), wire.Bind(new(entry.Observer), new(*calllog.Observer)), wire.Bind(new(callstream.Handler), new(*guard.Guard)),
