Refuse only retries for the retry budget, no first attempts

A call that was certain to belong to a repeat (no other run in progress on its host) could be refused with the reason retry-budget, and then the run that made it failed.

Cause: the guard took a share of 1 for a retry of the call itself.

Change: the call head has the number of attempts that have reached a backend server, and the guard asks for the budget only if there were any. Budget.Deposit is gone, as RecordCall with a share of 0 does the same; the tests that used it are otherwise unchanged.

--- a/coordination/call/call.go
+++ b/coordination/call/call.go
@@ -37,13 +37,13 @@
 	// RateLimit is the limit of the backend server that the entry node knows.
 	RateLimit RateLimit
 	// ReachedAttempts is the number of earlier attempts that reached a backend server.
+	ReachedAttempts int
 	// MaxReachedAttempts is the maximum number of such attempts, including this one; 0
-	// means no limit. Both are used by the entry node only.
-	ReachedAttempts    int
+	// means no limit. It is used by the entry node only.
 	MaxReachedAttempts int
 	// RepeatShare is the probability that the attempt is a repeat, from 0 to 1. It is 1
-	// after an attempt that reached a backend server, and before that the one of the run
-	// that made the call.
+	// after an attempt that reached a backend server. Before that, it is the probability
+	// that a repeated run makes the call.
 	RepeatShare float64
 	// IdempotencyKey is empty when the caller sent none.
 	IdempotencyKey string
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -64,9 +64,6 @@
 	}
 }
 
-// Deposit credits the budget of a service for one first attempt.
-func (b *Budget) Deposit(service state.ServiceName) { b.credit(service, b.config.Share) }
-
 // RecordCall credits the budget of a service for the first attempt of a call, unless
 // the call belongs to a repeat. repeatShare is the probability that it does. Such a
 // call is charged, even if it overdraws the budget, as the run that makes the call
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -99,7 +99,7 @@
 	budget := retry.NewBudget(retry.BudgetConfig{Share: 0.1, Capacity: 10})
 	retries := 0
 	for range calls {
-		budget.Deposit("desk")
+		budget.RecordCall(now, "desk", 0)
 		for budget.TryWithdraw("desk") {
 			retries++
 		}
@@ -184,7 +184,7 @@
 		budget := retry.NewBudget(retry.BudgetConfig{Share: 0.2, Capacity: capacity, Nodes: func() int { return nodes }})
 		require.False(t, budget.TryWithdraw("desk"), "the budget of a node that has just started is empty")
 		for range calls {
-			budget.Deposit("desk")
+			budget.RecordCall(now, "desk", 0)
 			for budget.TryWithdraw("desk") {
 				withdrawn++
 			}
--- a/protocol/callwire/head.go
+++ b/protocol/callwire/head.go
@@ -35,6 +35,8 @@
 		Fields:         encodeFields(head.Fields),
 		ContentLength:  head.ContentLength,
 		RepeatShare:    head.RepeatShare,
+
+		ReachedAttempts: uint32(head.ReachedAttempts),
 	}
 	if !head.SoftDeadline.IsZero() {
 		message.WantedNanos = proto.Int64(int64(head.SoftDeadline.Sub(now)))
@@ -85,6 +87,8 @@
 		ContentLength:  message.GetContentLength(),
 		RateLimit:      decodeRateLimit(message.RateLimit),
 		RepeatShare:    decodeProbability(message.GetRepeatShare()),
+
+		ReachedAttempts: int(message.GetReachedAttempts()),
 	}
 	if message.WantedNanos != nil {
 		head.SoftDeadline = now.Add(time.Duration(message.GetWantedNanos()))
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -55,7 +55,7 @@
 	if g.replaced.Load() {
 		return nil, state.NotRun(state.RefusedDraining, "another backend server was found at the address")
 	}
-	if head.RepeatShare >= 1 {
+	if head.ReachedAttempts > 0 {
 		if refusal := g.repeats.Admit(time.Now(), g.server.Name); refusal != nil {
 			return nil, refusal
 		}
