--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -99,7 +99,7 @@
 	budget := retry.NewBudget(retry.BudgetConfig{Share: 0.1, Capacity: 10})
 	retries := 0
 	for range calls {
-		budget.Deposit("desk")
+		budget.RecordCall(now, "desk", 0)
 		for budget.TryWithdraw("desk") {
 			retries++
 		}
@@ -184,7 +184,7 @@
 		budget := retry.NewBudget(retry.BudgetConfig{Share: 0.2, Capacity: capacity, Nodes: func() int { return nodes }})
 		require.False(t, budget.TryWithdraw("desk"), "the budget of a node that has just started is empty")
 		for range calls {
-			budget.Deposit("desk")
+			budget.RecordCall(now, "desk", 0)
 			for budget.TryWithdraw("desk") {
 				withdrawn++
 			}
@@ -194,3 +194,17 @@
 	require.LessOrEqual(t, withdrawn, nodes*calls/5+capacity)
 	require.GreaterOrEqual(t, withdrawn, nodes*calls/5-nodes)
 }
+
+// Guards against charging a repeat that no backend server has got, in addition to the one in its place.
+func TestRetryOfARepeatThatWasRefusedIsFree(t *testing.T) {
+	budget := retry.NewBudget(retry.BudgetConfig{Capacity: 1})
+	policy := retry.NewPolicy(retry.Config{ChargeReachedOnly: true}, budget, rand.New(rand.NewPCG(1, 2)))
+	head := call.Head{Service: "desk", Idempotent: true, Deadline: now.Add(time.Second)}
+	lost := state.MayHaveRun(state.RefusedBackendServerFailed, "")
+	require.Equal(t, retry.ActionRetryOtherServer, policy.Decide(now, head, lost, 1).Action)
+	require.Zero(t, budget.Balance(now, "desk"), "the repeat is charged")
+	head.ReachedAttempts = 1
+	notCovered := state.NotRun(state.RefusedRetryBudget, "")
+	require.Equal(t, retry.ActionRetryOtherServer, policy.Decide(now, head, notCovered, 2).Action)
+	require.Equal(t, retry.ActionReturnRefusal, policy.Decide(now, head, lost, 2).Action)
+}
--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -14,6 +14,7 @@
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/coordination/drain"
 	"github.com/wasabiport/wasabiport/coordination/quarantine"
+	"github.com/wasabiport/wasabiport/coordination/repeats"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/callstream"
 	"github.com/wasabiport/wasabiport/transport/events"
@@ -33,6 +34,7 @@
 	inFlight *inFlight
 	// peerCalls counts the calls of other nodes.
 	peerCalls *drain.PeerCalls
+	repeats   *repeats.Tracker
 	// probe distinguishes crashes from lost connections. If it is nil, every
 	// lost connection counts as a crash.
 	probe    *crashProbe
@@ -56,6 +58,11 @@
 	if g.replaced.Load() {
 		return nil, state.NotRun(state.RefusedDraining, "another backend server was found at the address")
 	}
+	if head.ReachedAttempts > 0 {
+		if refusal := g.repeats.Admit(time.Now(), g.server.Name); refusal != nil {
+			return nil, refusal
+		}
+	}
 	reservation, exclusive, refusal := g.reserve(head)
 	if refusal != nil {
 		return nil, refusal
@@ -63,9 +70,7 @@
 	if refusal := g.awaitSlot(waitCtx, reservation, body); refusal != nil {
 		return nil, refusal
 	}
-	endPeerCall := func() {}
 	release := func(result admission.Result) {
-		endPeerCall()
 		g.inFlight.remove(head.ID)
 		if exclusive && (result == admission.ResultSuccess || result == admission.ResultFailed) {
 			g.suspects.RecordSurvival(time.Now(), head.Fingerprint)
@@ -84,11 +89,17 @@
 		}
 	}
 	g.inFlight.add(head.ID, head.Fingerprint)
-	endPeerCall = g.beginPeerCall(body)
+	endPeerCall := g.beginPeerCall(body)
+	endRun := g.repeats.Begin(repeats.Run{BackendServer: g.server.Name, Deadline: head.Deadline, RepeatShare: head.RepeatShare})
+	releaseRun := func(result admission.Result) {
+		endPeerCall()
+		endRun()
+		release(result)
+	}
 	began := time.Now()
-	reply, refusal := g.run(runCtx, head, body, beforeSend, release)
+	reply, refusal := g.run(runCtx, head, body, beforeSend, releaseRun)
 	if refusal != nil {
-		release(admission.ResultAborted)
+		releaseRun(admission.ResultAborted)
 		return nil, refusal
 	}
 	reply.Head.ServiceTime = time.Since(began)
@@ -197,6 +208,7 @@
 		suspects:      g.policies.Suspects,
 		inFlight:      newInFlight(),
 		peerCalls:     g.peerCalls,
+		repeats:       g.policies.Repeats,
 		notifier:      g.notifier,
 		logger:        g.logger,
 		reportLimiter: g.reportLimiter,
