Let the background close end before the test of moved hosts counts sessions

What callers saw: nothing. TestMovedHostIsDialedAtNewAddress failed now and then with 2 sessions instead of 1, and its panic about blocked goroutines hid the message.

Cause: the test. The test counted right after the call, while the close could still be running at the same instant of virtual time. No page states that the call waits for the close.

Change: the test waits for the background work before it counts, still without any time passing, and also counts the peer's sessions. The listener is closed when the test fails, too. The test still fails when the old session is forgotten without being closed (checked by changing the code).

--- a/transport/peering/peering_test.go
+++ b/transport/peering/peering_test.go
@@ -244,10 +244,12 @@
 		require.Error(t, a.echo(moved, handshake.LaneBulk), "no listener at the new address yet")
 		listener, err := memory.Listen(t.Context(), moved.PeerAddress)
 		require.NoError(t, err)
+		defer func() { require.NoError(t, listener.Close()) }()
 		go func() { _ = b.pool.Serve(listener) }()
 		require.NoError(t, a.echo(moved, handshake.LaneBulk))
+		synctest.Wait() // The session is closed in the background.
 		require.Equal(t, 1.0, a.metricValue(a.pool.metrics.sessions), "the session to the old address is closed")
-		require.NoError(t, listener.Close())
+		require.Equal(t, 1.0, b.metricValue(b.pool.metrics.sessions), "and its other end")
 	})
 }
 
