--- a/transport/events/node.go
+++ b/transport/events/node.go
@@ -42,13 +42,13 @@
 	// Withdraw is the time at which calls that wait for a slot are withdrawn. Calls that
 	// come later and could run at LastReply are refused.
 	Withdraw *time.Duration `event:"withdraw"`
-	// LastReply is the time at which the running calls of callers are broken off.
+	// LastReply is the time at which calls of callers without an answer are broken off.
 	LastReply *time.Duration `event:"last_reply"`
 }
 
 // Kind returns the description of the event.
 func (NodeLeaving) Kind() Kind {
-	return Kind{103, LevelInfo, "node-leaving", "The node has begun to leave. It still takes calls. The fields are times from now on: at drain its guard stops to take calls, and its listener of callers closes when the guard has none left; at withdraw calls that wait for a slot are withdrawn, and from then on calls that could run at last_reply are refused; at last_reply the running calls of callers are broken off; at grace the node ends whatever still runs. Empty times mean that no call is broken off."}
+	return Kind{103, LevelInfo, "node-leaving", "The node has begun to leave. It still takes calls. The fields are times from now on: at drain its guard stops to take calls, and its listener of callers closes when the guard has none left; at withdraw calls that wait for a slot are withdrawn, and from then on calls that could run at last_reply are refused; at last_reply calls of callers without an answer are broken off; at grace the node ends whatever still runs. Empty times mean that no call is broken off."}
 }
 
 // NodeStopped is logged at the end of a graceful shutdown. All times are counted from the
