--- a/transport/guard/gate.go
+++ b/transport/guard/gate.go
@@ -88,18 +88,11 @@
 			return nil, state.NotRun(state.RefusedCanceled, "the entry node has not confirmed the start of the call")
 		}
 	}
-	g.inFlight.add(head.ID, head.Fingerprint)
-	endPeerCall := g.beginPeerCall(body)
-	endRun := g.repeats.Begin(repeats.Run{BackendServer: g.server.Name, Deadline: head.Deadline, RepeatShare: head.RepeatShare})
-	releaseRun := func(result admission.Result) {
-		endPeerCall()
-		endRun()
-		release(result)
-	}
+	release = g.beginRun(head, body, release)
 	began := time.Now()
-	reply, refusal := g.run(runCtx, head, body, beforeSend, releaseRun)
+	reply, refusal := g.run(runCtx, head, body, beforeSend, release)
 	if refusal != nil {
-		releaseRun(admission.ResultAborted)
+		release(admission.ResultAborted)
 		return nil, refusal
 	}
 	reply.Head.ServiceTime = time.Since(began)
@@ -107,6 +100,18 @@
 	return reply, nil
 }
 
+// beginRun records that a call runs. It returns release with the end of that added.
+func (g *gate) beginRun(head call.Head, body io.Reader, release func(admission.Result)) func(admission.Result) {
+	g.inFlight.add(head.ID, head.Fingerprint)
+	endPeerCall := g.beginPeerCall(body)
+	endRun := g.repeats.Begin(repeats.Run{BackendServer: g.server.Name, Deadline: head.Deadline, RepeatShare: head.RepeatShare})
+	return func(result admission.Result) {
+		endPeerCall()
+		endRun()
+		release(result)
+	}
+}
+
 // awaitSlot waits until the reservation is granted. Otherwise it returns the
 // reason as a refusal.
 func (g *gate) awaitSlot(ctx context.Context, reservation *admission.Reservation, body io.Reader) *state.Refusal {
