--- a/transport/guard/delivery.go
+++ b/transport/guard/delivery.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -95,64 +94,3 @@
 
 // undoBegin reverts beginWrite after a first write that wrote no byte.
 func (d *delivery) undoBegin() { d.phase.CompareAndSwap(deliverySent, deliveryPending) }
-
-// backendConn is a connection to a backend server. It carries one call at a
-// time and writes only what the delivery of that call permits.
-type backendConn struct {
-	net.Conn
-	delivery atomic.Pointer[delivery]
-	writing  atomic.Bool
-	closed   atomic.Bool
-	// onLost is called when the backend server has ended the connection, also while it
-	// carries no call.
-	onLost func()
-}
-
-// assign assigns the connection to the next call.
-func (c *backendConn) assign(d *delivery) {
-	c.writing.Store(false)
-	c.delivery.Store(d)
-}
-
-func (c *backendConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.noticeLoss(err)
-	return n, err
-}
-
-// noticeLoss calls onLost if an error shows that the backend server has ended the
-// connection. A write may show it first, after which the transport closes the connection.
-func (c *backendConn) noticeLoss(err error) {
-	if err != nil && !c.closed.Load() {
-		c.onLost()
-	}
-}
-
-// Close closes the connection.
-func (c *backendConn) Close() error {
-	c.closed.Store(true)
-	return c.Conn.Close()
-}
-
-func (c *backendConn) Write(p []byte) (int, error) {
-	if c.writing.Load() {
-		n, err := c.Conn.Write(p)
-		c.noticeLoss(err)
-		return n, err
-	}
-	delivery := c.delivery.Load()
-	if delivery == nil {
-		return 0, errDeliveryEnded
-	}
-	if err := delivery.beginWrite(); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Write(p)
-	c.noticeLoss(err)
-	if n == 0 && err != nil {
-		delivery.undoBegin()
-		return 0, err
-	}
-	c.writing.Store(true)
-	return n, err
-}
--- a/transport/guard/fixture_test.go
+++ b/transport/guard/fixture_test.go
@@ -35,7 +35,8 @@
 
 // fixture is a guard with a single backend server, "desk-0".
 type fixture struct {
-	t       *testing.T
+	t *testing.T
+	// network is nil if the backend server is reached over another one.
 	network *network.Memory
 	guard   *guard.Guard
 
@@ -58,6 +59,20 @@
 }
 
 func newFixtureWith(t *testing.T, connections int, mapper guard.BackendMapper, link *admission.Link) *fixture {
+	memory := network.NewMemory()
+	f := newFixtureOn(t, memory, connections, mapper, link)
+	f.network = memory
+	return f
+}
+
+// newFixtureOn returns a fixture whose backend server is reached over a network.
+func newFixtureOn(
+	t *testing.T,
+	backendNetwork network.Network,
+	connections int,
+	mapper guard.BackendMapper,
+	link *admission.Link,
+) *fixture {
 	builder := state.NewSnapshotBuilder(nil)
 	builder.Set(state.Resources{
 		Services: []state.Service{{Name: "desk", QueueLimits: [state.ClassCount]int{8, 8, 8, 8}}},
@@ -67,7 +82,6 @@
 	})
 	snapshots := state.NewSnapshotStore(1)
 	require.True(t, snapshots.Swap(builder.Build(1, 1)))
-	memory := network.NewMemory()
 	budget := retry.NewBudget(retry.BudgetConfig{})
 	tracker := repeats.NewTracker(budget)
 	policies := guard.Policies{
@@ -81,8 +95,8 @@
 	require.NoError(t, err)
 	logging := guard.Logging{Logger: logr.Discard(), CallLineLimit: limiters.Guard, ReportLineLimit: limiters.Reports}
 	return &fixture{
-		t: t, snapshots: snapshots, network: memory, budget: budget, repeats: tracker,
-		guard: guard.New("host-0", mapper, snapshots, policies, noPeers{}, memory, logging),
+		t: t, snapshots: snapshots, budget: budget, repeats: tracker,
+		guard: guard.New("host-0", mapper, snapshots, policies, noPeers{}, backendNetwork, logging),
 	}
 }
 
@@ -91,6 +105,11 @@
 	listener, err := f.network.Listen(f.t.Context(), backendAddress)
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { _ = listener.Close() })
+	serveConns(listener, handle)
+}
+
+// serveConns runs handle for each connection of a listener.
+func serveConns(listener net.Listener, handle func(conn net.Conn)) {
 	go func() {
 		for {
 			conn, err := listener.Accept()
