Don't take an answer with status 000 for that of a warm backend server

But a health check that got such an answer counted as answered, and the backend server as warm, so that one in trouble could get calls at the full rate.

Cause: net/http accepts any three digits as a status. The guard checked it for calls and the entry node for replies of guards, each in its own way; health checks did not.

Change: one function, IsFinalStatus, is used by all three. A health check whose answer is not final counts as not answered, and its connection is closed.

Result: TestHealthCheckWithBrokenAnswerSaysNothing failed in both cases before ("Should be true: the answer says nothing") and passes, with the check that follows taken again.

--- a/protocol/httpmap/httpmap.go
+++ b/protocol/httpmap/httpmap.go
@@ -33,6 +33,15 @@
 // internalPrefix is the prefix of the header fields that only the system sets.
 const internalPrefix = "Wasabiport-"
 
+// Range of the status codes of final responses. Those below it are informational, or invalid.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 999
+)
+
+// IsFinalStatus reports whether a status can end an HTTP exchange.
+func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxFinalStatus }
+
 var hopByHop = map[string]bool{
 	"Connection":          true,
 	"Keep-Alive":          true,
--- a/transport/callstream/client.go
+++ b/transport/callstream/client.go
@@ -12,6 +12,7 @@
 	"github.com/wasabiport/wasabiport/coordination/call"
 	"github.com/wasabiport/wasabiport/protocol/callwire"
 	"github.com/wasabiport/wasabiport/protocol/frame"
+	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/protocol/wirepb"
 	"github.com/wasabiport/wasabiport/state"
 )
@@ -151,7 +152,7 @@
 
 func (c *client) handleReplyHead(ctx context.Context, message *wirepb.ReplyHead) Result {
 	head := callwire.DecodeReplyHead(message)
-	if head.ID != c.head.ID || !isFinalStatus(head.Status) {
+	if head.ID != c.head.ID || !httpmap.IsFinalStatus(head.Status) {
 		return Result{Refusal: c.lostRefusal()}
 	}
 	reader := &bodyReader{client: c}
@@ -162,9 +163,6 @@
 	return Result{Reply: reply, Load: head.Load}
 }
 
-// isFinalStatus reports whether a status can end an HTTP exchange.
-func isFinalStatus(status int) bool { return status >= 200 && status <= 999 }
-
 // encodeHead returns the head for one write, together with the body unless the
 // start of the call must be confirmed.
 func (c *client) encodeHead(body *Body) ([]byte, error) {
--- a/transport/guard/cold.go
+++ b/transport/guard/cold.go
@@ -9,6 +9,7 @@
 
 	"github.com/wasabiport/wasabiport/coordination/admission"
 	"github.com/wasabiport/wasabiport/coordination/call"
+	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/events"
 )
@@ -110,7 +111,7 @@
 }
 
 // requestHealth sends a health check and returns the answer. It returns false if the
-// backend server has given none.
+// backend server has given none, or one that is not valid.
 func (g *gate) requestHealth() (call.ServerHealth, bool) {
 	ctx, cancelTimeout := context.WithTimeout(g.health.ctx, healthTimeout)
 	defer cancelTimeout()
@@ -127,6 +128,10 @@
 	if err != nil {
 		return call.ServerHealth{}, false
 	}
+	if !httpmap.IsFinalStatus(response.StatusCode) {
+		delivery.discard(response, true)
+		return call.ServerHealth{}, false
+	}
 	health, ok := g.mapper.Health(response)
 	delivery.discard(response, false)
 	return health, ok
--- a/transport/guard/cold_test.go
+++ b/transport/guard/cold_test.go
@@ -35,6 +35,9 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	warmAt   time.Time
+	// healthStart replaces the status line of the answers to health checks, and may add
+	// fields.
+	healthStart string
 	// arrivals holds the times of all requests, and checks the number of those that were
 	// health checks.
 	arrivals []time.Time
@@ -97,14 +100,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.arrivals = append(b.arrivals, time.Now())
-	cold := ""
+	start, cold := "HTTP/1.1 200 OK", ""
 	if request.URL.Path == healthPath {
 		b.checks++
+		if b.healthStart != "" {
+			start = b.healthStart
+		}
 		if left := time.Until(b.warmAt); left > 0 {
 			cold = fmt.Sprintf("%s: %s\r\n", httpmap.HeaderCold, left)
 		}
 	}
-	return "HTTP/1.1 200 OK\r\n" + cold + "Content-Length: 2\r\n\r\nok"
+	return start + "\r\n" + cold + "Content-Length: 2\r\n\r\nok"
 }
 
 // most returns the largest number of requests in a second within a period.
@@ -141,6 +147,12 @@
 	return b.checks
 }
 
+func (b *coldBackend) setHealthStart(start string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.healthStart = start
+}
+
 // newColdFixture returns a fixture whose backend server has just started, and is warm.
 func newColdFixture(t *testing.T) (*fixture, *coldBackend) {
 	fixture := newFixture(t, 20)
@@ -243,6 +255,34 @@
 	})
 }
 
+// Guards against a backend server that counts as warm because its health check got an answer
+// that is not valid HTTP.
+func TestHealthCheckWithBrokenAnswerSaysNothing(t *testing.T) {
+	for name, start := range map[string]string{
+		"status 000": "HTTP/1.1 000 Unknown",
+		"status 099": "HTTP/1.1 099 Unknown",
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				fixture, backend := newColdFixture(t)
+				defer fixture.guard.Shutdown()
+				defer backend.crash()
+				backend.setHealthStart(start)
+				fixture.finish(fixture.doIdempotent(http.MethodGet))
+				fixture.guard.AssumeCold()
+				time.Sleep(10 * time.Millisecond)
+				require.Equal(t, 1, backend.checkCount())
+				require.True(t, fixture.guard.Occupancies()[0].Cold, "the answer says nothing")
+
+				backend.setHealthStart("")
+				// The next check is due within a minute.
+				time.Sleep(time.Minute)
+				require.False(t, fixture.guard.Occupancies()[0].Cold, "the answer says that it is warm")
+			})
+		})
+	}
+}
+
 // Guards against the limit of a cold backend server that stays after the drain of its zone
 // has ended, because no health check is sent while the zone is drained.
 func TestDrainedBackendServerIsAskedWhenTheDrainEnds(t *testing.T) {
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -71,7 +71,7 @@
 		cancel(err)
 		return nil, refusal
 	}
-	if response.StatusCode < http.StatusOK {
+	if !httpmap.IsFinalStatus(response.StatusCode) {
 		_ = response.Body.Close()
 		cancel(nil)
 		return nil, state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server changed the protocol")
