Refuse answers that have a field with an invalid name

Callers saw: an answer with a blank in the name of a field was passed on with status 200 and without that field. Names with control bytes were refused before; their tests are kept.

Cause: net/http rejects a name with any byte that is not part of a token, but the blank. It keeps such a name as it is and does not recognise the field. Nothing checked names after that, neither in answers to calls and health checks nor in those of the store.

Change: HasValidNames compares names with the token of RFC 9110. The guard refuses a call with such an answer as "may have run" and closes the connection, a health check has no answer, a body whose trailer has such a name ends with an error, and a read of the store fails and is repeated.

--- a/transport/guard/cold.go
+++ b/transport/guard/cold.go
@@ -9,7 +9,6 @@
 
 	"github.com/wasabiport/wasabiport/coordination/admission"
 	"github.com/wasabiport/wasabiport/coordination/call"
-	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/state"
 	"github.com/wasabiport/wasabiport/transport/events"
 )
@@ -128,7 +127,7 @@
 	if err != nil {
 		return call.ServerHealth{}, false
 	}
-	if !httpmap.IsFinalStatus(response.StatusCode) {
+	if checkHead(response) != nil {
 		delivery.discard(response, true)
 		return call.ServerHealth{}, false
 	}
--- a/transport/guard/cold_test.go
+++ b/transport/guard/cold_test.go
@@ -259,8 +259,10 @@
 // that is not valid HTTP.
 func TestHealthCheckWithBrokenAnswerSaysNothing(t *testing.T) {
 	for name, start := range map[string]string{
-		"status 000": "HTTP/1.1 000 Unknown",
-		"status 099": "HTTP/1.1 099 Unknown",
+		"status 000":                            "HTTP/1.1 000 Unknown",
+		"status 099":                            "HTTP/1.1 099 Unknown",
+		"blank in the name of a field":          "HTTP/1.1 200 OK\r\nX Bad: 1",
+		"blank after the name of the cold time": "HTTP/1.1 200 OK\r\n" + httpmap.HeaderCold + " : 3s",
 	} {
 		t.Run(name, func(t *testing.T) {
 			virtualtime.Test(t, func(t *testing.T) {
--- a/transport/guard/reply.go
+++ b/transport/guard/reply.go
@@ -27,6 +27,7 @@
 ) *callstream.Reply {
 	body := &releasingBody{
 		ReadCloser:     response.Body,
+		response:       response,
 		onTruncated:    onTruncated,
 		release:        release,
 		result:         admission.ResultAborted,
@@ -61,9 +62,13 @@
 	}
 }
 
+// errInvalidTrailer means that a body ended with a trailer that is not valid.
+var errInvalidTrailer = errors.New("the answer has a trailer field with an invalid name")
+
 // releasingBody releases the slot when it is closed.
 type releasingBody struct {
 	io.ReadCloser
+	response    *http.Response
 	onTruncated func()
 	release     func(admission.Result)
 	// result is the result of the call so far, and completeResult the result
@@ -79,6 +84,8 @@
 	case err == nil:
 	case !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
 		b.onTruncated()
+	case !httpmap.HasValidNames(b.response.Trailer):
+		return n, errInvalidTrailer
 	case b.result == admission.ResultAborted:
 		b.result = b.completeResult
 	}
--- a/transport/guard/run.go
+++ b/transport/guard/run.go
@@ -71,10 +71,10 @@
 		cancel(err)
 		return nil, refusal
 	}
-	if !httpmap.IsFinalStatus(response.StatusCode) {
-		_ = response.Body.Close()
+	if refusal := checkHead(response); refusal != nil {
+		delivery.discard(response, true)
 		cancel(nil)
-		return nil, state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server changed the protocol")
+		return nil, refusal
 	}
 	assessment := g.mapper.Classify(head, response)
 	g.applyReport(assessment.Report)
@@ -101,6 +101,19 @@
 	return holdReply(ctx, reply)
 }
 
+// checkHead returns a refusal for a response whose head is not valid, although
+// http.Transport has accepted it. Its connection can't be used any more.
+func checkHead(response *http.Response) *state.Refusal {
+	switch {
+	case !httpmap.IsFinalStatus(response.StatusCode):
+		return state.MayHaveRun(state.RefusedBackendServerFailed, "the backend server changed the protocol")
+	case !httpmap.HasValidNames(response.Header):
+		return state.MayHaveRun(state.RefusedBackendServerFailed, "the answer has a header field with an invalid name")
+	default:
+		return nil
+	}
+}
+
 // holdReply reads the start of a reply before the entry node receives any part.
 func holdReply(ctx context.Context, reply *callstream.Reply) (*callstream.Reply, *state.Refusal) {
 	if err := reply.Hold(); err != nil {
--- a/transport/source/client_test.go
+++ b/transport/source/client_test.go
@@ -74,6 +74,28 @@
 	}
 }
 
+// Guards against an answer that is read without one of its fields, because the name of the
+// field is not valid.
+func TestAnswerWithInvalidFieldNameIsUnavailable(t *testing.T) {
+	for name, field := range map[string]string{"blank": "X Bad: 1", "blank before the colon": "Content-Length : 14"} {
+		t.Run(name, func(t *testing.T) {
+			answer := func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n"+`{"tickets":[]}`)
+			}
+			serve(t, answer, func(t *testing.T, client *source.Client) {
+				_, err := client.Tickets(t.Context(), 0, 0)
+				require.True(t, errors.Is(err, source.ErrUnavailable))
+				require.ErrorContains(t, err, "invalid name")
+			})
+		})
+	}
+}
+
 func TestRetryAfterHeaderIsReturned(t *testing.T) {
 	answer := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Retry-After", "7")
--- a/transport/source/reader.go
+++ b/transport/source/reader.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/wasabiport/wasabiport/protocol/httpmap"
 	"github.com/wasabiport/wasabiport/transport/events"
 )
 
@@ -27,6 +28,9 @@
 // or an answer that does not have the published format.
 var ErrUnavailable = errors.New("configuration service is not available")
 
+// errInvalidName means that the head of an answer is not valid.
+var errInvalidName = errors.New("the answer has a header field with an invalid name")
+
 // Reader reads JSON documents from a read-only HTTP service.
 type Reader struct {
 	baseURL string
@@ -70,6 +74,9 @@
 	}
 	noAnswer.Stop()
 	defer func() { _ = response.Body.Close() }()
+	if !httpmap.HasValidNames(response.Header) {
+		return nil, markUnavailable(errInvalidName, path)
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, markUnavailable(statusError(response), path)
 	}
