--- a/transport/guard/backendconn.go
+++ b/transport/guard/backendconn.go
@@ -107,9 +107,9 @@
 	return n, err
 }
 
-// mayFollowOrderlyEnd reports whether a write may fail with an error although the other
-// side has ended the connection in order: it accepts no more bytes after that, or the
-// write was ended by this side.
+// mayFollowOrderlyEnd reports whether a write may fail with an error although the backend
+// server has ended its stream in order. A reset after that end is reported as EPIPE, or
+// io.ErrClosedPipe in memory; the other two errors are caused by this side.
 func mayFollowOrderlyEnd(err error) bool {
 	return errors.IsAny(err, syscall.EPIPE, io.ErrClosedPipe, os.ErrDeadlineExceeded, net.ErrClosed)
 }
