--- a/protocol/httpmap/fieldnames.go
+++ b/protocol/httpmap/fieldnames.go
@@ -23,14 +23,19 @@
 
 // isToken reports whether text is a token as defined by RFC 9110, section 5.6.2.
 func isToken(text string) bool {
-	return text != "" && strings.IndexFunc(text, isNoTokenChar) < 0
+	for _, char := range text {
+		if !isTokenChar(char) {
+			return false
+		}
+	}
+	return text != ""
 }
 
-func isNoTokenChar(char rune) bool {
+func isTokenChar(char rune) bool {
 	switch {
 	case 'a' <= char && char <= 'z', 'A' <= char && char <= 'Z', '0' <= char && char <= '9':
-		return false
+		return true
 	default:
-		return !strings.ContainsRune(tokenSymbols, char)
+		return strings.ContainsRune(tokenSymbols, char)
 	}
 }
