Review case 15: also a fragment in the path

What follows a "#" in a target is dropped on the way to the server, by the same code. Half of the 20 requests of the case have one now.

--- a/review/bed-3/platform/case_path.go
+++ b/review/bed-3/platform/case_path.go
@@ -38,17 +38,17 @@
 		return cantRun, err
 	}
 	time.Sleep(3 * time.Second)
-	// The path names one document, "permit|7/2", in the folder "streets".
-	form := "/%s/streets/permit%%7C%d%%2F2"
+	// The paths name one document in the folder "streets": "permit|7/2" or "permit7#2".
+	forms := []string{"/%s/streets/permit%%7C%d%%2F2", "/%s/streets/permit%d%%232"}
 	if b.trouble {
-		form = "/%s/streets/permit|%d%%2F2"
+		forms = []string{"/%s/streets/permit|%d%%2F2", "/%s/streets/permit%d#2"}
 	}
 	for n := range pathsSent {
 		id, method, prefix := fmt.Sprintf("%016x", uint64(0x9c41)<<48+uint64(n)), "GET", "lohu930"
 		if n%2 == 1 {
 			method, prefix = "POST", "pufi791"
 		}
-		target := fmt.Sprintf(form, prefix, n)
+		target := fmt.Sprintf(forms[n/2%2], prefix, n)
 		mu.Lock()
 		sent[id] = target
 		mu.Unlock()
