Review: a play in which answers are mixed up

Cause: inbound counts an empty head as a request after three empty lines behind a body; the HTTP server skips it. pipeline takes its number for that of the running request, starts that one again as the following one, and gives its answer to the request that comes next.

Adds play "mixed" of review/bed-3, which becomes a case.

--- a/review/bed-3/platform/cases.go
+++ b/review/bed-3/platform/cases.go
@@ -9,4 +9,5 @@
 	"slow-body": playSlowBody,
 	"path":      playPath,
 	"gone":      playGone,
+	"mixed":     playMixed,
 }
