Review case 11: an unsafe request runs twice and its answer goes elsewhere

Cause: transport/entry/inboundhead.go takes a third empty line behind a body for a head; the HTTP server skips it. From then on pipeline numbers the requests of the connection wrongly, starts one again that has run, and gives its answer to the request that comes next.

--- a/review/bed-3/platform/case_mixed.go
+++ b/review/bed-3/platform/case_mixed.go
@@ -23,11 +23,14 @@
 // playMixed sends empty lines after a body, and then requests on the same connection.
 func playMixed(b *bed) (int, error) {
 	var mu sync.Mutex
-	runs := map[string]int{}
+	runs, filed := map[string]int{}, map[string]int{}
 	serve := func(e *exchange) bool {
 		_, _ = io.Copy(io.Discard, e.request.Body)
 		mu.Lock()
 		runs[e.id()]++
+		if e.request.Method == "POST" {
+			filed[e.id()]++
+		}
 		mu.Unlock()
 		b.record.add("upstream %s: runs %s: %s %s", e.up.id, e.id(), e.request.Method, e.request.RequestURI)
 		if e.request.Method == "GET" {
@@ -58,9 +61,15 @@
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	b.record.say("%d requests sent, %d run, %d answered, %d answers of another request", sent, len(runs), answered, mixed)
+	twice := 0
+	for _, times := range filed {
+		if times > 1 {
+			twice++
+		}
+	}
+	b.record.say("%d requests sent, %d run, %d answered; %d answers of another request, %d unsafe requests run twice", sent, len(runs), answered, mixed, twice)
 	switch {
-	case mixed > 0:
+	case mixed > 0 || twice > 0:
 		return broken, nil
 	case !b.trouble && answered < sent:
 		return cantRun, nil
@@ -69,8 +78,8 @@
 	}
 }
 
-// sendMixed sends a filing, two requests behind each other, and after their answers
-// another filing.
+// sendMixed sends filings with empty lines behind them, and requests that follow each other.
+// It waits for the answers of each step.
 func (b *bed) sendMixed(m *machine, n, lines int) (sent, answered, mixed int) {
 	conn, err := net.DialTimeout("tcp", m.outbound(), time.Second)
 	if err != nil {
@@ -80,19 +89,26 @@
 	_ = conn.SetDeadline(time.Now().Add(8 * time.Second))
 	reader := bufio.NewReader(conn)
 	id := func(i int) string { return fmt.Sprintf("%016x", uint64(0x9c41)<<48+uint64(16*n+i)) }
-	filing := func(i int) string {
-		return fmt.Sprintf("POST /pufi791/filing/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\nContent-Length: 5\r\n\r\nhello", i, siteHost, id(i))
-	}
-	lookup := func(i int) string {
-		return fmt.Sprintf("GET /lohu930/history/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\n\r\n", i, siteHost, id(i))
+	request := func(method, path string, i int, body string) string {
+		head := fmt.Sprintf("%s %s/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\n", method, path, i, siteHost, id(i))
+		if body != "" {
+			head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+		}
+		return head + "\r\n" + body
 	}
+	filing := func(i int, body string) string { return request("POST", "/pufi791/filing", i, body) }
+	lookup := func(i int) string { return request("GET", "/lohu930/history", i, "") }
+	empty := strings.Repeat("\r\n", lines)
 	for _, step := range []struct {
 		bytes    string
 		requests []int
 	}{
-		{filing(0) + strings.Repeat("\r\n", lines), []int{0}},
+		{filing(0, "hello") + empty, []int{0}},
 		{lookup(1) + lookup(2), []int{1, 2}},
-		{filing(3), []int{3}},
+		{filing(3, "hello") + empty, []int{3}},
+		{lookup(4) + filing(5, ""), []int{4, 5}},
+		{lookup(6), []int{6}},
+		{filing(7, "hello"), []int{7}},
 	} {
 		if _, err := io.WriteString(conn, step.bytes); err != nil {
 			b.record.add("client %d: %v", n, err)
--- a/review/bed-3/platform/node.go
+++ b/review/bed-3/platform/node.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -179,18 +178,3 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
-
-// memory returns a field of the status of the process in MiB.
-func (m *machine) memory(field string) float64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		if rest, ok := strings.CutPrefix(line, field+":"); ok {
-			kib, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-			return kib / 1024
-		}
-	}
-	return 0
-}
